--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,17 @@
+// Command benchlink hosts instances of the decision module on the simulator's
+// wire: batches on standard input, replies on standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"copperrock.example/copperrock/internal/simwire"
+)
+
+func main() {
+	if err := simwire.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/simwire/actions.go
@@ -0,0 +1,83 @@
+package simwire
+
+import (
+	"encoding/binary"
+	"math"
+)
+
+// frame gathers the action records of one reply and their tail.
+type frame struct {
+	records, tail []byte
+	source        uint32
+	sourced       bool
+}
+
+// actions writes one instance's actions into the reply under way.
+type actions struct {
+	link *Link
+	who  uint32
+}
+
+func (a *actions) record(code uint8) []byte {
+	f := &a.link.reply
+	if !f.sourced || f.source != a.who {
+		f.source, f.sourced = a.who, true
+		binary.BigEndian.PutUint32(f.blank(13)[1:], a.who)
+	}
+	return f.blank(code)
+}
+
+func (f *frame) blank(code uint8) []byte {
+	f.records = append(f.records, make([]byte, actionSize)...)
+	rec := f.records[len(f.records)-actionSize:]
+	rec[0] = code
+	return rec
+}
+
+func putF64(to []byte, v float64) { binary.BigEndian.PutUint64(to, math.Float64bits(v)) }
+
+func (a *actions) Dispatch(job, engine uint32, timeout float64) {
+	rec := a.record(0)
+	binary.BigEndian.PutUint32(rec[1:], job)
+	putF64(rec[5:], timeout)
+	binary.BigEndian.PutUint32(rec[13:], engine)
+}
+
+func (a *actions) Terms(job uint32, priority uint8, grant float64) {
+	rec := a.record(12)
+	binary.BigEndian.PutUint32(rec[1:], job)
+	rec[5] = priority
+	binary.BigEndian.PutUint32(rec[6:], math.Float32bits(float32(grant)))
+}
+
+func (a *actions) Throttle(job uint32, comeBack float64) {
+	rec := a.record(1)
+	binary.BigEndian.PutUint32(rec[1:], job)
+	putF64(rec[5:], comeBack)
+}
+
+func (a *actions) CancelForGood(job uint32) {
+	binary.BigEndian.PutUint32(a.record(2)[1:], job)
+}
+
+func (a *actions) CallOff(job uint32, dispatch int) {
+	rec := a.record(3)
+	binary.BigEndian.PutUint32(rec[1:], job)
+	binary.BigEndian.PutUint16(rec[5:], uint16(dispatch))
+}
+
+func (a *actions) Probe(engine uint32) {
+	binary.BigEndian.PutUint32(a.record(5)[1:], engine)
+}
+
+func (a *actions) Watch() { a.record(10)[1] = 1 }
+
+func (a *actions) Wake(after float64) { putF64(a.record(4)[1:], after) }
+
+func (a *actions) die(text string) {
+	rec := a.record(9)
+	f := &a.link.reply
+	binary.BigEndian.PutUint32(rec[1:], uint32(len(f.tail)))
+	binary.BigEndian.PutUint32(rec[5:], uint32(len(text)))
+	f.tail = append(f.tail, text...)
+}
