Move each engine's share by AIMD on its latency over its best

Cause: the fixed share of twice the memory never bound before engines thrashed, and refusals for fullness were answered by more dispatches at once. The share now shrinks by 3% an answer while run time over bare work is 2.5 times its best, grows by 1% otherwise; a full engine rests 0.2 s. Heads of the class queues leave in arrival order.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,7 +30,6 @@
 	lines   map[uint64]*keyLine
 	fleet   []*engine // listed engines by id
 	classes []*class
-	release []*class // the order in which the classes' queues are served
 	tenants []*tenant
 
 	giveUps            byGiveUp
@@ -83,9 +82,8 @@
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time.
-		b.classes = append(b.classes, &class{Class: c, index: i, slow: 1.2, mean: c.Aim * c.Threads / 3})
+		b.classes = append(b.classes, &class{Class: c, index: i, slow: 1.2, base: 1.2, mean: c.Aim * c.Threads / 3})
 	}
-	b.release = slices.Clone(b.classes)
 	for _, rate := range set.Tenants {
 		b.tenants = append(b.tenants, &tenant{rate: rate / float64(set.Gateways), tokens: rate})
 	}
@@ -130,7 +128,7 @@
 func (b *Brain) Listed(now float64, id uint32, zone, kind, cell int, ready bool, up float64) {
 	e := b.engines[id]
 	if e == nil {
-		e = &engine{id: id, slow: 1, best: 1, heard: now, gap: firstGap, ok: newRing(1, 10), bad: newRing(1, 10),
+		e = &engine{id: id, slow: 1, scale: 1, heard: now, gap: firstGap, ok: newRing(1, 10), bad: newRing(1, 10),
 			util: -1, memory: -1, waiting: -1, reported: now, probed: now}
 		e.sentWork = newRing(cmp.Or(b.set.FallWindow, 1)/10, 12)
 		b.engines[id] = e
@@ -302,6 +300,12 @@
 	if b.now < b.swept+0.02 { // the queues are looked through every fourth tick or so
 		return false
 	}
+	for _, j := range b.again {
+		if j.out == 0 && b.now+j.class.run(j.work) > min(j.aim(), j.giveUp) {
+			b.job = j
+			return true
+		}
+	}
 	for _, c := range b.classes {
 		for _, j := range c.queue {
 			if b.now+c.run(j.work) > min(j.aim(), j.giveUp) {
@@ -352,17 +356,18 @@
 // share is the part of an engine's memory that this gateway may have granted at once.
 func (b *Brain) share(e *engine) float64 {
 	memory := b.set.Kinds[e.kind].Memory
-	return max(2*memory/float64(b.set.Gateways), memory/4)
+	return max(2*memory*e.scale/float64(b.set.Gateways), memory/4)
 }
 
 // pressed tells whether the engine shows pressure, latency far above its best or full: then the share binds.
 func (b *Brain) pressed(e *engine) bool {
-	return b.now < e.fullUntil || e.slow > 2*e.best
+	return e.scale < 1
 }
 
-func (b *Brain) fits(j *job, e *engine) bool {
+// fits tells whether both tallies have room.
+func (b *Brain) fits(j *job, e *engine, pool float64) bool {
 	_, counted := b.grant(j, e.kind)
-	return !b.pressed(e) || e.tally+counted <= b.share(e)
+	return (!b.pressed(e) || e.tally+counted <= b.share(e)) && j.class.tally+counted <= pool
 }
 
 // pool is the memory that one class may have granted over all usable engines.
@@ -379,7 +384,7 @@
 // ---- the choice of engine
 
 func (b *Brain) usable(e *engine) bool {
-	return e.ready && e.listed && !e.doubted && b.now >= e.restUntil
+	return e.ready && e.listed && !e.doubted && b.now >= e.restUntil && b.now >= e.fullUntil
 }
 
 // allowed tells whether the rules let this job go to this engine now.
@@ -421,8 +426,9 @@
 // place finds the engine for a job: of two random fitting ones, that with the less own estimated work.
 func (b *Brain) place(j *job) *engine {
 	var fit []*engine
+	pool := b.pool()
 	for _, e := range b.fleet {
-		if b.usable(e) && b.allowed(j, e) && b.fits(j, e) {
+		if b.usable(e) && b.allowed(j, e) && b.fits(j, e, pool) {
 			fit = append(fit, e)
 		}
 	}
@@ -443,30 +449,27 @@
 
 // load is the engine's own estimated work, the job's with it, over what it gets done.
 func (b *Brain) load(e *engine, j *job) float64 {
-	return (e.work + j.work) * e.slow / (b.set.Kinds[e.kind].Cores * b.warmth(e))
+	work := (e.work + j.work) * e.slow / (b.set.Kinds[e.kind].Cores * b.warmth(e))
+	if e.zone != b.set.Zone {
+		work *= 1.2 // crossing has a price
+	}
+	return work
 }
 
 // ---- dispatches
 
 func (b *Brain) admissible() bool {
-	pool := b.pool()
-	for _, c := range b.release {
-		for _, j := range c.queue {
-			if !j.turn(b.now) {
-				continue // held for its key; those behind it with other keys are not
-			}
-			e := b.place(j)
-			if e == nil {
-				break
-			}
-			if _, counted := b.grant(j, e.kind); c.tally+counted > pool {
-				break
-			}
-			b.job, b.engine = j, e
-			return true
+	b.job = nil
+	for _, c := range b.classes {
+		at := slices.IndexFunc(c.queue, func(j *job) bool { return j.turn(b.now) })
+		if at < 0 || b.job != nil && c.queue[at].taken >= b.job.taken {
+			continue // those held for their key do not hold up the ones behind them
+		}
+		if e := b.place(c.queue[at]); e != nil {
+			b.job, b.engine = c.queue[at], e
 		}
 	}
-	return false
+	return b.job != nil
 }
 
 // turn tells whether the order of the job's key lets it go.
@@ -630,17 +633,34 @@
 		}
 		pace := took * c.Threads / max(work, 0.001)
 		c.slow += 0.05 * (min(pace, 20) - c.slow)
-		e.slow += 0.05 * (min(pace/c.slow, 10) - e.slow)
-		e.best = min(e.best*1.0005, e.slow)
+		if pace < c.base { // follows the tenth-best of the paces
+			c.base += 0.09 * (pace - c.base)
+		} else {
+			c.base += 0.01 * (min(pace, 3*c.base) - c.base)
+		}
+		e.slow += 0.1 * (min(pace/c.base, 10) - e.slow)
+		b.adapt(e)
 	case Failed:
 		e.bad.add(now, 1)
 	case Full:
-		e.fullUntil = now + 0.5
+		e.fullUntil = now + 0.2
+		e.scale = max(e.scale*0.9, 0.05)
 	case NoConnection, Reset:
 		e.bad.add(now, 3)
 	}
 }
 
+// adapt moves the engine's share: down by a part while its latency is far above its best, up by a little otherwise.
+func (b *Brain) adapt(e *engine) {
+	if e.slow > farAbove {
+		e.scale = max(e.scale*0.97, 0.05)
+	} else {
+		e.scale = min(e.scale+0.01, 1)
+	}
+}
+
+const farAbove = 2.5
+
 // ---- the health of engines
 
 const firstGap = 0.3 // s, a cautious first guess, replaced by what is seen
--- a/brain/state.go
+++ b/brain/state.go
@@ -35,7 +35,7 @@
 	tally, work           float64 // own open grants and own open work
 	live                  []*dispatch
 	heard, gap            float64 // last answer, mean gap between answers
-	slow, best            float64 // run time over bare work: now, and at its best
+	slow, scale           float64 // run time over its best; part of the share in force
 	fullUntil             float64
 	restUntil, restLength float64
 	doubted, trial        bool
@@ -53,7 +53,7 @@
 	tally                       float64
 	told, work, jobs            float64 // decayed sums of answers: work as told, as needed
 	toldMemory, memory, answers float64
-	slow                        float64
+	slow, base                  float64 // run time over bare work: now, at its best
 	mean                        float64
 }
 
