Add home engines by hash and keep loads of one data set apart

Cause: loads of one set met on one engine and stood still behind each other, warm sets were spread thin. Two homes a set by rendezvous hash join the two random engines; their reading saved counts in the comparison. Loads of a set go to the gateway's own part of the ranking.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,7 +36,7 @@
 	again              []*job // dispatched before, waiting for a further dispatch
 	spent              []*dispatch
 	taken, extra       ring
-	asking             bool
+	asking, waits      bool
 	askAt, swept, bell float64
 
 	// What the rule that fired is about.
@@ -82,6 +82,7 @@
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time.
+		b.waits = b.waits || c.Waits
 		b.classes = append(b.classes, &class{Class: c, index: i, slow: 1.2, base: 1.2, mean: c.Aim * c.Threads / 3})
 	}
 	for _, rate := range set.Tenants {
@@ -435,21 +436,71 @@
 	if len(fit) == 0 {
 		return nil
 	}
+	ranked := b.ranked(j)
+	var homes []*engine
+	switch {
+	case j.class.Load:
+		fit = prefer(fit, func(e *engine) bool { return b.ours(ranked, e) })
+	case j.class.Waits:
+		fit = prefer(fit, func(e *engine) bool { return slices.Index(ranked, e) < len(ranked)/2 })
+		fallthrough
+	default:
+		homes = ranked[:min(2, len(ranked))]
+	}
+	if j.class.Load || j.class.Waits {
+		fit = prefer(fit, func(e *engine) bool { return !e.holds(j.tables) })
+	}
 	at := int(b.chance() * float64(len(fit)))
-	first := fit[at]
-	if len(fit) == 1 {
-		return first
+	best := fit[at]
+	other := fit[(at+1+int(b.chance()*float64(len(fit)-1)))%len(fit)]
+	for _, e := range append(homes, other) {
+		if slices.Contains(fit, e) && b.load(e, j, homes) < b.load(best, j, homes) {
+			best = e
+		}
 	}
-	second := fit[(at+1+int(b.chance()*float64(len(fit)-1)))%len(fit)]
-	if b.load(second, j) < b.load(first, j) {
-		return second
+	return best
+}
+
+// ranked orders the engines for the job's data set by a hash, the same at every gateway. Its first two are the
+// set's homes: they keep it warm. Loads, which hold the set, keep apart: each gateway's to its own engines, and
+// to the far half where reads would stand still behind them.
+func (b *Brain) ranked(j *job) []*engine {
+	ranked := slices.Clone(b.fleet)
+	slices.SortFunc(ranked, func(x, y *engine) int { return cmp.Compare(rank(j, x), rank(j, y)) })
+	return ranked
+}
+
+func (b *Brain) ours(ranked []*engine, e *engine) bool {
+	at := slices.Index(ranked, e)
+	return (!b.waits || at >= len(ranked)/2) && (b.waits || at%b.set.Gateways == b.set.Index)
+}
+
+func (e *engine) holds(tables uint32) bool {
+	return slices.ContainsFunc(e.live, func(d *dispatch) bool { return d.job.class.Load && d.job.tables == tables })
+}
+
+func prefer(list []*engine, good func(*engine) bool) []*engine {
+	var found []*engine
+	for _, e := range list {
+		if good(e) {
+			found = append(found, e)
+		}
+	}
+	if found == nil {
+		return list
 	}
-	return first
+	return found
 }
 
+func rank(j *job, e *engine) uint64 { return mix(uint64(j.tables)<<32 | uint64(e.id)) }
+
 // load is the engine's own estimated work, the job's with it, over what it gets done.
-func (b *Brain) load(e *engine, j *job) float64 {
-	work := (e.work + j.work) * e.slow / (b.set.Kinds[e.kind].Cores * b.warmth(e))
+func (b *Brain) load(e *engine, j *job, homes []*engine) float64 {
+	own := j.work
+	if slices.Contains(homes, e) {
+		own *= 0.6
+	}
+	work := (e.work + own) * e.slow / (b.set.Kinds[e.kind].Cores * b.warmth(e))
 	if e.zone != b.set.Zone {
 		work *= 1.2 // crossing has a price
 	}
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -47,7 +47,7 @@
 // Settings are what the module reads of a deployment, decoded once at start.
 // Times are seconds, memory is megabytes.
 type Settings struct {
-	Gateways, Zone                           int
+	Index, Gateways, Zone                    int
 	AskRoster, MayCancel, MayCopy, MayProbe  bool
 	Grants, Priorities                       bool
 	MostDispatches                           int
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -72,6 +72,7 @@
 	}
 	s := brain.Settings{
 		Gateways:       max(v.count("group-size"), 1),
+		Index:          v.count("index"),
 		Zone:           v.count("zone"),
 		AskRoster:      v["membership-mode"] == "on_request",
 		MayCancel:      v.yes("allowed.cancel"),
