Take SLA strain as pressure and let a priority line keep threads

Cause: run time over the best pace swung with data sets and pauses; engines thrashed before the share of twice the memory bound. The AIMD signal is now run time over SLA time (0.4); the share is one memory over the gateways; where no line by priority takes what passes the memory, an engine counts as full by the gateway's own tally. Where one does, the least grant is a third of a core's memory a thread, so that the line itself bounds the threads.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -333,16 +333,11 @@
 
 // ---- grants and tallies
 
-// bounds are the least and the most grant of a class on a kind.
-func (b *Brain) bounds(c *class, kind int) (least, most float64) {
-	k := b.set.Kinds[kind]
-	most = k.Memory / 4
-	return min(k.Memory*c.Threads/(8*k.Cores), most), most
-}
-
 // grant is the memory that a dispatch names, 0 for none, and what the tallies count for it.
 func (b *Brain) grant(j *job, kind int) (named, counted float64) {
-	least, most := b.bounds(j.class, kind)
+	k := b.set.Kinds[kind]
+	most := k.Memory / 4
+	least := min(k.Memory*j.class.Threads/(b.threadsPerCore()*k.Cores), most)
 	switch {
 	case j.toldMemory > 0:
 		named = min(max(1.25*j.toldMemory, least), most)
@@ -354,21 +349,35 @@
 	return named, named
 }
 
+// threadsPerCore sets the least grant: so many threads a core fill the memory. The page's 8 leaves cores to
+// thrash; where an engine's line goes by priority, 3 makes the line keep them from it, for all gateways at once.
+func (b *Brain) threadsPerCore() float64 {
+	if b.lineByPriority() {
+		return 3
+	}
+	return 8
+}
+
 // share is the part of an engine's memory that this gateway may have granted at once.
 func (b *Brain) share(e *engine) float64 {
 	memory := b.set.Kinds[e.kind].Memory
-	return max(2*memory*e.scale/float64(b.set.Gateways), memory/4)
+	return max(1*memory*e.scale/float64(b.set.Gateways), memory/4)
 }
 
-// pressed tells whether the engine shows pressure, latency far above its best or full: then the share binds.
-func (b *Brain) pressed(e *engine) bool {
-	return e.scale < 1
+// pressed tells whether the engine shows pressure: then the share binds. Latency shows it, and being full. Where
+// no line by priority takes what passes the memory, shortage harms before latency tells: there the engine is
+// taken for full once the gateways together, each granting as this one does, would fill it.
+func (b *Brain) pressed(e *engine, counted float64) bool {
+	full := (e.tally+counted)*float64(b.set.Gateways) > b.set.Kinds[e.kind].Memory
+	return e.scale < 1 || full && !b.lineByPriority()
 }
 
+func (b *Brain) lineByPriority() bool { return b.set.Line && b.set.Priorities }
+
 // fits tells whether both tallies have room.
 func (b *Brain) fits(j *job, e *engine, pool float64) bool {
 	_, counted := b.grant(j, e.kind)
-	return (!b.pressed(e) || e.tally+counted <= b.share(e)) && j.class.tally+counted <= pool
+	return (!b.pressed(e, counted) || e.tally+counted <= b.share(e)) && j.class.tally+counted <= pool
 }
 
 // pool is the memory that one class may have granted over all usable engines.
@@ -690,6 +699,7 @@
 			c.base += 0.01 * (min(pace, 3*c.base) - c.base)
 		}
 		e.slow += 0.1 * (min(pace/c.base, 10) - e.slow)
+		e.strain += 0.1 * (min(took/(d.job.class.Aim+d.job.class.Stretch*work/c.Threads), 3) - e.strain)
 		b.adapt(e)
 	case Failed:
 		e.bad.add(now, 1)
@@ -703,14 +713,14 @@
 
 // adapt moves the engine's share: down by a part while its latency is far above its best, up by a little otherwise.
 func (b *Brain) adapt(e *engine) {
-	if e.slow > farAbove {
+	if e.strain > farAbove {
 		e.scale = max(e.scale*0.97, 0.05)
 	} else {
 		e.scale = min(e.scale+0.01, 1)
 	}
 }
 
-const farAbove = 2.5
+const farAbove = 0.4
 
 // ---- the health of engines
 
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -49,7 +49,7 @@
 type Settings struct {
 	Index, Gateways, Zone                    int
 	AskRoster, MayCancel, MayCopy, MayProbe  bool
-	Grants, Priorities                       bool
+	Grants, Priorities, Line                 bool
 	MostDispatches                           int
 	MostComeBack, Grace                      float64
 	Cold, ColdFrom, FallMultiple, FallWindow float64
--- a/brain/state.go
+++ b/brain/state.go
@@ -35,6 +35,7 @@
 	tally, work           float64 // own open grants and own open work
 	live                  []*dispatch
 	heard, gap            float64 // last answer, mean gap between answers
+	strain                float64 // run time over SLA time
 	slow, scale           float64 // run time over its best; part of the share in force
 	fullUntil             float64
 	restUntil, restLength float64
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -80,6 +80,7 @@
 		MayProbe:       v.yes("allowed.probing") && v["report.how"] != "off",
 		Grants:         v.yes("family-info.grants"),
 		Priorities:     v.yes("family-info.takes-priority"),
+		Line:           v["family-info.on-shortage"] == "wait",
 		MostDispatches: v.count("allowed.try-limit"),
 		Grace:          v.num("contract.grace-to-answer"),
 		Cold:           v.num("contract.cold"),
