Doubt silent and failing engines, call off runaway dispatches

An accrual detector counts the answers that the jobs held should have brought; a failing engine rests and comes back by one light restartable job. Progress notes show a dispatch at a fifth of its pace: called off and sent again.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -13,7 +13,6 @@
 	"container/heap"
 	"encoding/binary"
 	"hash/fnv"
-	"math"
 	"slices"
 )
 
@@ -83,7 +82,7 @@
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time.
 		b.waits = b.waits || c.Waits
-		b.classes = append(b.classes, &class{Class: c, index: i, slow: 1.2, base: 1.2, mean: c.Aim * c.Threads / 3})
+		b.classes = append(b.classes, &class{Class: c, index: i, slow: 1.2, mean: c.Aim * c.Threads / 3})
 	}
 	for _, rate := range set.Tenants {
 		b.tenants = append(b.tenants, &tenant{rate: rate / float64(set.Gateways), tokens: rate})
@@ -129,7 +128,7 @@
 func (b *Brain) Listed(now float64, id uint32, zone, kind, cell int, ready bool, up float64) {
 	e := b.engines[id]
 	if e == nil {
-		e = &engine{id: id, slow: 1, scale: 1, heard: now, gap: firstGap, ok: newRing(1, 10), bad: newRing(1, 10),
+		e = &engine{id: id, slow: 1, scale: 1, heard: now, gap: 1, ok: newRing(1, 10), bad: newRing(1, 10),
 			util: -1, memory: -1, waiting: -1, reported: now, probed: now}
 		e.sentWork = newRing(cmp.Or(b.set.FallWindow, 1)/10, 12)
 		b.engines[id] = e
@@ -394,7 +393,18 @@
 // ---- the choice of engine
 
 func (b *Brain) usable(e *engine) bool {
-	return e.ready && e.listed && !e.doubted && b.now >= e.restUntil && b.now >= e.fullUntil
+	return e.ready && e.listed && !e.doubted && b.now >= e.fullUntil
+}
+
+// onTrial tells whether a doubted engine, once rested, may have this job to show that it works: one at a time,
+// light and restartable.
+func (b *Brain) onTrial(e *engine, j *job) bool {
+	return e.ready && e.listed && e.doubted && b.now >= max(e.restUntil, e.fullUntil) && len(e.live) == 0 &&
+		j.class.Effect == Restartable && j.class == b.lightest()
+}
+
+func (b *Brain) lightest() *class {
+	return slices.MinFunc(b.classes, func(x, y *class) int { return cmp.Compare(x.mean, y.mean) })
 }
 
 // allowed tells whether the rules let this job go to this engine now.
@@ -438,7 +448,7 @@
 	var fit []*engine
 	pool := b.pool()
 	for _, e := range b.fleet {
-		if b.usable(e) && b.allowed(j, e) && b.fits(j, e, pool) {
+		if (b.usable(e) || b.onTrial(e, j)) && b.allowed(j, e) && b.fits(j, e, pool) {
 			fit = append(fit, e)
 		}
 	}
@@ -640,6 +650,7 @@
 	e, c := d.engine, j.class
 	d.out = false
 	j.out--
+	b.judge(d, status, took, work, memory)
 	e.live = remove(e.live, d)
 	e.tally -= d.grant
 	e.work -= d.work
@@ -656,7 +667,6 @@
 	if j.mayRan == nil && status != Full && status != NoConnection && status != Moot {
 		j.mayRan = d
 	}
-	b.judge(d, status, took, work, memory)
 	switch {
 	case over || status == Done:
 		if !j.ended {
@@ -678,11 +688,12 @@
 	e, c, now := d.engine, d.job.class, b.now
 	switch status {
 	case Done, Failed, Full:
-		e.hear(now, d.sent)
+		e.hear(now)
 	}
 	switch status {
 	case Done:
 		e.ok.add(now, 1)
+		e.doubted = false
 		if work > 0 {
 			const keep = 0.98 // about the last fifty answers
 			c.jobs, c.work, c.told = c.jobs*keep+1, c.work*keep+work, c.told*keep+d.job.told
@@ -693,16 +704,15 @@
 		}
 		pace := took * c.Threads / max(work, 0.001)
 		c.slow += 0.05 * (min(pace, 20) - c.slow)
-		if pace < c.base { // follows the tenth-best of the paces
-			c.base += 0.09 * (pace - c.base)
-		} else {
-			c.base += 0.01 * (min(pace, 3*c.base) - c.base)
-		}
-		e.slow += 0.1 * (min(pace/c.base, 10) - e.slow)
+		e.slow += 0.1 * (min(pace/c.slow, 10) - e.slow)
 		e.strain += 0.1 * (min(took/(d.job.class.Aim+d.job.class.Stretch*work/c.Threads), 3) - e.strain)
 		b.adapt(e)
 	case Failed:
 		e.bad.add(now, 1)
+	case CalledOff, TimedOut:
+		if d.moved {
+			e.bad.add(now, 1)
+		}
 	case Full:
 		e.fullUntil = now + 0.2
 		e.scale = max(e.scale*0.9, 0.05)
@@ -724,32 +734,94 @@
 
 // ---- the health of engines
 
-const firstGap = 0.3 // s, a cautious first guess, replaced by what is seen
-
-// hear notes an answer and how long the engine had been silent with work due.
-func (e *engine) hear(now, sent float64) {
-	e.gap += 0.1 * (max(now-max(e.heard, sent), 0) - e.gap)
+// hear notes an answer and how unusual the silence before it was.
+func (e *engine) hear(now float64) {
+	e.gap += 0.1 * (min(e.overdue(now), 10) - e.gap)
 	e.heard = now
-	e.doubted = false
 }
 
-// silence is how many mean gaps the engine has been silent for with work that should have ended.
-func (e *engine) silence(now float64) float64 {
-	since := math.Inf(1)
+// overdue is how many answers the jobs held should have brought since the last one: each counts the time it
+// has been out in the silence over its expected run.
+func (e *engine) overdue(now float64) float64 {
+	sum := 0.0
 	for _, d := range e.live {
-		since = min(since, d.due)
+		sum += (now - max(e.heard, d.sent)) / (d.due - d.sent)
 	}
-	return max(now-max(since, e.heard), 0) / max(e.gap, 0.05)
+	return sum
+}
+
+// silence is how unusual the engine's silence is, given the gaps seen before.
+func (e *engine) silence(now float64) float64 {
+	if len(e.live) == 0 || now-max(e.heard, e.live[0].sent) < leastSilence {
+		return 0
+	}
+	return e.overdue(now) / max(e.gap, leastGap)
 }
 
-func (b *Brain) silent() bool { return false }
-func (b *Brain) doubt()       {}
+const leastSilence = 1.0 // s: what a pause may take; moving jobs sooner costs more work than waiting
+const leastGap = 0.5     // answers: the mean would be one if the expected run times were right
+
+// mayDoubt keeps half of the fleet in use whatever it looks like: when all are slow at once none is to blame.
+func (b *Brain) mayDoubt() bool {
+	doubted := 0
+	for _, e := range b.fleet {
+		if e.doubted {
+			doubted++
+		}
+	}
+	return 2*(doubted+1) <= len(b.fleet)
+}
+
+// silent finds an engine whose silence is far out of the ordinary, its own and the others'. It answers hangs and
+// machines gone without a word; a long pause can look the same and costs the work called off.
+func (b *Brain) silent() bool {
+	if !b.mayDoubt() {
+		return false
+	}
+	sum := 0.0
+	for _, e := range b.fleet {
+		sum += min(e.silence(b.now), unusual)
+	}
+	for _, e := range b.fleet {
+		s := e.silence(b.now)
+		if (!e.doubted || b.now >= e.restUntil) && s > unusual && s > 3*(sum-unusual)/float64(len(b.fleet)) {
+			b.engine = e
+			return true
+		}
+	}
+	return false
+}
+
+const unusual = 16.0 // answers overdue over the usual: 8 doubted engines that were only slow
+
+// doubt rests the engine and moves what it holds, where the rules let a job that may have run go again.
+func (b *Brain) doubt() {
+	b.rest()
+	for _, d := range b.engine.live {
+		if !b.movesOff(d) {
+			continue
+		}
+		if b.set.MayCancel {
+			b.spent = append(b.spent, d)
+		} else if b.set.MayCopy && !d.job.again {
+			d.job.again = true
+			b.again = append(b.again, d.job)
+		}
+	}
+}
+
+// movesOff tells whether the job could go elsewhere if this dispatch ended without an answer.
+func (b *Brain) movesOff(d *dispatch) bool {
+	j := d.job
+	return !j.ended && !j.begun && j.out == 1 && len(j.dispatches) < b.set.MostDispatches && (j.class.Effect == Restartable ||
+		j.class.Effect == Keyed && b.now < j.dispatches[0].sent+j.class.Window-0.1)
+}
 
 // failing finds an engine with a high share of failures: quick ones make it look idle, and it would draw more.
 func (b *Brain) failing() bool {
 	for _, e := range b.fleet {
 		bad := e.bad.sum(b.now, 4)
-		if b.now >= e.restUntil && bad >= 3 && bad > 0.25*(bad+e.ok.sum(b.now, 4)) {
+		if e.doubted && bad > 0 && b.now >= e.restUntil || !e.doubted && b.mayDoubt() && bad >= 3 && bad > 0.25*(bad+e.ok.sum(b.now, 4)) {
 			b.engine = e
 			return true
 		}
@@ -759,8 +831,12 @@
 
 func (b *Brain) rest() {
 	e := b.engine
+	if b.now > e.restUntil+10 {
+		e.restLength = 0
+	}
 	e.restLength = min(max(2*e.restLength, 1), 8)
 	e.restUntil = b.now + e.restLength
+	e.doubted = true
 	clear(e.bad.buckets)
 }
 
@@ -777,12 +853,20 @@
 
 func (b *Brain) callOff() {
 	b.spent = b.spent[1:]
+	b.sent.moved = true
 	b.out.CallOff(b.sent.job.id, b.sent.number)
 }
 
 // Progress tells how far a dispatch is: topic 1 its share done, 2 that it spills, 3 that it waits.
 func (b *Brain) Progress(now float64, id uint32, number, topic int, amount float64) {
 	b.now = now
+	if j := b.jobs[id]; topic == 1 && j != nil && number < len(j.dispatches) && j.dispatches[number].out {
+		d := j.dispatches[number]
+		run, age := j.class.run(j.work)*d.engine.slow, now-d.sent
+		if b.set.MayCancel && amount*5*run < age && age > run/2 && b.movesOff(d) && j.class.Effect == Restartable {
+			b.spent = append(b.spent, d)
+		}
+	}
 	b.settle()
 }
 
