--- a/brain/state.go
+++ b/brain/state.go
@@ -1,75 +1,188 @@
 package brain
 
-import "container/heap"
+import (
+	"cmp"
+	"container/heap"
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+)
 
 type job struct {
-	id                  uint32
-	class               *class
-	tenant              *tenant
-	line                *keyLine
-	taken, giveUp       float64
-	told, toldMemory    float64 // estimates as told, 0 where none
-	work                float64 // estimated work, corrected
-	tables              uint32
-	over, ended, begun  bool
-	dispatches          []*dispatch
-	out                 int
-	mayRan              *dispatch // the first dispatch that may have run
-	queued, again, late bool
+	id            uint32
+	class         *class
+	line          *keyLine
+	taken, giveUp float64
+	told, memory  float64 // estimates as told, 0 where none
+	work          float64 // estimated work, corrected
+	tables        uint32
+	over          bool // past its tenant's share
+	ended, begun  bool
+	dispatches    []*dispatch
+	out           int
+}
+
+// first is the earliest dispatch that may have run.
+func (j *job) first() *dispatch {
+	for _, d := range j.dispatches {
+		if d.out || d.ran {
+			return d
+		}
+	}
+	return nil
 }
 
 type dispatch struct {
-	job              *job
-	engine           *engine
-	number           int
-	sent, due        float64
-	grant, work      float64
-	out, moved, slow bool
+	job             *job
+	engine          *engine
+	number          int
+	sent, run       float64 // run: the time expected
+	grant, work     float64
+	out, ran, moved bool
+}
+
+// book counts the dispatch with its job, engine, class and key.
+func (d *dispatch) book() {
+	j, e := d.job, d.engine
+	d.number, d.work, d.out = len(j.dispatches), j.work, true
+	j.dispatches = append(j.dispatches, d)
+	j.out++
+	if j.line != nil {
+		j.line.out++
+	}
+	e.live = append(e.live, d)
+	e.tally += d.grant
+	e.work += d.work
+	j.class.tally += d.grant
+	j.class.out++
+}
+
+// unbook takes the dispatch out again. A tally with nothing left is set to zero: rounding leaves traces.
+func (d *dispatch) unbook() {
+	j, e := d.job, d.engine
+	d.out = false
+	j.out--
+	if j.line != nil {
+		j.line.out--
+	}
+	e.live = remove(e.live, d)
+	e.tally -= d.grant
+	e.work -= d.work
+	if len(e.live) == 0 {
+		e.tally, e.work = 0, 0
+	}
+	j.class.tally -= d.grant
+	if j.class.out--; j.class.out == 0 {
+		j.class.tally = 0
+	}
 }
 
 type engine struct {
 	id                    uint32
 	zone, kind, cell      int
 	ready, listed         bool
-	up                    float64 // its latest start, as told or seen
+	up                    float64 // its latest start, as told
 	tally, work           float64 // own open grants and own open work
 	live                  []*dispatch
-	heard, gap            float64 // last answer, mean gap between answers
+	heard, gap            float64 // last answer; answers overdue at an answer, at the mean
 	strain                float64 // run time over SLA time
-	slow, scale           float64 // run time over its best; part of the share in force
+	slow, scale           float64 // run time over the class's; part of the share in force
 	fullUntil             float64
 	restUntil, restLength float64
-	doubted, trial        bool
-	ok, bad               ring
-	sentWork              ring
-	util, memory, waiting float64 // as last reported, -1 if never
-	reported, probed      float64
-	probing               bool
+	doubted               bool
+	ok, bad, sentWork     ring
+}
+
+// holds tells whether a load of this gateway holds the data set there.
+func (e *engine) holds(tables uint32) bool {
+	return slices.ContainsFunc(e.live, func(d *dispatch) bool { return d.job.class.Load && d.job.tables == tables })
+}
+
+// rank orders the engines for a data set, the same at every gateway.
+func (e *engine) rank(tables uint32) uint64 { return mix(uint64(tables)<<32 | uint64(e.id)) }
+
+// roster is the list of engines as last told; fleet holds those that are ready, by id.
+type roster struct {
+	engines map[uint32]*engine
+	fleet   []*engine
+	watched bool
+}
+
+func (r *roster) begin(mode ListMode) {
+	r.watched = mode == Changes || mode == Whole
+	if mode == Whole || mode == Cached {
+		for _, e := range r.engines {
+			e.listed = false
+		}
+	}
+}
+
+func (r *roster) entry(id uint32, bucket float64) *engine {
+	e := r.engines[id]
+	if e == nil {
+		e = &engine{id: id, slow: 1, scale: 1, gap: 1, ok: newRing(1, 5), bad: newRing(1, 5), sentWork: newRing(bucket, 11)}
+		r.engines[id] = e
+	}
+	return e
+}
+
+func (r *roster) end() {
+	r.fleet = r.fleet[:0]
+	for _, e := range r.engines {
+		if e.listed && e.ready {
+			r.fleet = append(r.fleet, e)
+		}
+	}
+	slices.SortFunc(r.fleet, func(x, y *engine) int { return cmp.Compare(x.id, y.id) })
 }
 
 type class struct {
 	*Class
-	index                       int
 	queue                       []*job
 	tally                       float64
-	told, work, jobs            float64 // decayed sums of answers: work as told, as needed
-	toldMemory, memory, answers float64
-	slow, base                  float64 // run time over bare work: now, at its best
-	mean                        float64
+	out                         int
+	told, work, memory, answers float64 // decayed sums over the answers
+	slow, mean                  float64 // run time over bare work; mean work
+	done                        ring    // work done
 }
 
 type tenant struct {
 	rate, tokens, at float64
 }
 
+// keyLine holds the jobs of one key in the order in which they were taken.
 type keyLine struct {
 	jobs      []*job
 	out       int
 	restUntil float64
 }
 
-// ring sums a measure over the latest stretch of time in fixed buckets that
-// are used again.
+// dice draws chance from a seed and a counter.
+type dice struct {
+	seed, counter uint64
+}
+
+func (d *dice) draw() float64 {
+	h := fnv.New64a()
+	var buf [16]byte
+	binary.BigEndian.PutUint64(buf[:], d.seed)
+	binary.BigEndian.PutUint64(buf[8:], d.counter)
+	d.counter++
+	h.Write(buf[:])
+	return float64(mix(h.Sum64())>>11) / (1 << 53)
+}
+
+// mix spreads a hash over all bits; FNV alone leaves the high ones alike for near counters.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
+
+// ring sums a measure over the latest stretch of time in fixed buckets that are used again.
 type ring struct {
 	width   float64
 	buckets []float64
@@ -100,13 +213,16 @@
 // sum adds the n latest buckets, the running one included.
 func (r *ring) sum(now float64, n int) float64 {
 	r.turn(now)
-	s := 0.0
-	for i := range int64(min(n, len(r.buckets))) {
-		s += r.buckets[(r.last-i+int64(len(r.buckets))*2)%int64(len(r.buckets))]
+	s, size := 0.0, int64(len(r.buckets))
+	for i := range int64(n) {
+		s += r.buckets[(r.last-i%size+size)%size]
 	}
 	return s
 }
 
+// most is the fullest bucket, as a rate.
+func (r *ring) most() float64 { return slices.Max(r.buckets) / r.width }
+
 // byGiveUp orders jobs by the time their clients give up.
 type byGiveUp []*job
 
@@ -125,10 +241,22 @@
 var _ heap.Interface = (*byGiveUp)(nil)
 
 func remove[T comparable](list []T, x T) []T {
-	for i, y := range list {
-		if x == y {
-			return append(list[:i], list[i+1:]...)
-		}
+	if i := slices.Index(list, x); i >= 0 {
+		return slices.Delete(list, i, i+1)
 	}
 	return list
 }
+
+// prefer gives the good ones of the list, or all where none is.
+func prefer(list []*engine, good func(*engine) bool) []*engine {
+	found := []*engine{}
+	for _, e := range list {
+		if good(e) {
+			found = append(found, e)
+		}
+	}
+	if len(found) == 0 {
+		return slices.Clone(list)
+	}
+	return found
+}
