--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,9 +1,10 @@
 // The decisions of one gateway. Call New, then one method for each event with the time now; what is decided
-// leaves through Actions before the method returns. Settings and Actions are in iface.go, plain types in state.go.
+// leaves through Actions before the method returns. Settings and Actions are in iface.go, plain types in
+// state.go.
 //
 // A job becomes a memory grant, clamped between bounds. It is dispatched where this gateway's own tallies, by
-// engine and by class, have room for the grant, and is held in its class's queue otherwise. All else here is an
-// exception to that; docs/design.md tells when each one acts.
+// engine and by class, have room for the grant, and is held in its class's queue otherwise. All else here is
+// an exception to that; docs/design.md tells when each one acts.
 package brain
 
 import (
@@ -64,12 +65,13 @@
 
 // New makes the module of one gateway.
 func New(seed uint64, set Settings, out Actions) *Brain {
-	b := &Brain{set: set, out: out, dice: dice{seed: seed}, jobs: map[uint32]*job{}, lines: map[uint64]*keyLine{}}
-	b.roster.engines = map[uint32]*engine{}
+	b := &Brain{set: set, out: out, dice: dice{seed: seed}, roster: roster{engines: map[uint32]*engine{}},
+		jobs: map[uint32]*job{}, lines: map[uint64]*keyLine{}}
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time, at a pace near the best.
-		b.classes = append(b.classes, &class{Class: c, slow: 1.2, mean: c.Aim * c.Threads / 3, done: newRing(1, 10)})
+		guess := c.Aim * c.Threads / 3
+		b.classes = append(b.classes, &class{Class: c, slow: 1.2, mean: guess, done: newRing(1, 10)})
 	}
 	for _, rate := range set.Tenants {
 		b.tenants = append(b.tenants, &tenant{rate: rate / float64(set.Gateways), tokens: rate})
@@ -79,28 +81,6 @@
 	return b
 }
 
-// RosterBegins opens a roster message; Listed follows for each entry, then RosterEnds.
-func (b *Brain) RosterBegins(now float64, mode ListMode) {
-	b.now = now
-	b.roster.begin(mode)
-}
-
-// Listed takes in one entry of the roster.
-func (b *Brain) Listed(now float64, id uint32, zone, kind, cell int, ready bool, up float64) {
-	e := b.roster.entry(id, cmp.Or(b.set.FallWindow, 1)/10)
-	if up > e.up { // a new start: what was held against the old one is void
-		e.up, e.heard = up, now
-		e.doubted, e.restLength, e.fullUntil = false, 0, 0
-	}
-	e.zone, e.kind, e.cell, e.ready, e.listed = zone, kind, cell, ready, true
-}
-
-// RosterEnds closes a roster message.
-func (b *Brain) RosterEnds(now float64) {
-	b.roster.end()
-	b.settle()
-}
-
 func (b *Brain) unwatched() bool { return b.set.AskRoster && !b.roster.watched && b.now >= b.askAt }
 
 // watch asks again after a second or two, so that a failed call is not repeated by all gateways at once.
@@ -116,7 +96,8 @@
 	tables uint32, retry bool) {
 	b.now = now
 	c := b.classes[class]
-	j := &job{id: id, class: c, taken: now, giveUp: giveUp, told: cost, memory: memory, tables: tables, work: c.mean}
+	j := &job{id: id, class: c, taken: now, giveUp: giveUp, told: cost, memory: memory, tables: tables}
+	j.work = c.mean
 	if cost > 0 {
 		const weight = 5 // answers' worth of belief in the estimate as told
 		j.work = cost * (c.work + weight*c.mean) / (c.told + weight*c.mean)
@@ -138,7 +119,8 @@
 	b.settle()
 }
 
-// take counts a job against the tenant's share; two seconds of it may come at once, so that bursts are not cut.
+// take counts a job against the tenant's share; two seconds of it may come at once, so that bursts are not
+// cut.
 func (t *tenant) take(now float64) bool {
 	t.tokens = min(t.tokens+(now-t.at)*t.rate, 2*t.rate)
 	t.at = now
@@ -157,24 +139,6 @@
 // run is the learned run time of a job of the class.
 func (c *class) run(j *job) float64 { return j.work / c.Threads * c.slow }
 
-// Begun tells that a streamed answer has started: it has no deadline from here.
-func (b *Brain) Begun(now float64, id uint32, number int) {
-	b.now = now
-	if j := b.jobs[id]; j != nil {
-		j.begun = true
-	}
-	b.settle()
-}
-
-// Withdrawn tells that the client has left.
-func (b *Brain) Withdrawn(now float64, id uint32) {
-	b.now = now
-	if j := b.jobs[id]; j != nil && !j.ended {
-		b.end(j)
-	}
-	b.settle()
-}
-
 // end closes a job: nothing more is sent for it, and what it still has out is called off.
 func (b *Brain) end(j *job) {
 	j.ended = true
@@ -221,10 +185,10 @@
 	b.end(j)
 }
 
-// hopeless finds a job to throttle because it, or one behind it, would end past its SLA time: time left is under
-// the learned run time, or would be by its turn. Then, as Moore and Hodgson do, the one of least billed value for
-// its work among those up to there gives way. It answers overload of any cause; a wrong estimate of the pace
-// could throttle what would have been done.
+// hopeless finds a job to throttle because it, or one behind it, would end past its SLA time: time left is
+// under the learned run time, or would be by its turn. Then, as Moore and Hodgson do, the one of least billed
+// value for its work among those up to there gives way. It answers overload of any cause; a wrong estimate of
+// the pace could throttle what would have been done.
 func (b *Brain) hopeless() bool {
 	if b.now < b.swept+0.02 { // the queues are looked through every fourth tick or so
 		return false
@@ -310,7 +274,8 @@
 func (b *Brain) lineByPriority() bool { return b.set.Line && b.set.Priorities }
 
 // threadsPerCore sets the least grant: so many threads a core fill the memory. The page's 8 leaves cores to
-// thrash; a line by priority keeps them from it for all gateways at once if 3 fill the memory (2 idles engines).
+// thrash; a line by priority keeps them from it for all gateways at once if 3 fill the memory (2 idles
+// engines).
 func (b *Brain) threadsPerCore() float64 {
 	if b.lineByPriority() {
 		return 3
@@ -325,9 +290,9 @@
 	return max(memory*e.scale/float64(b.set.Gateways), memory/4)
 }
 
-// pressed tells whether the engine shows pressure: then the share binds. Latency shows it, and being full. Where
-// no line by priority takes what passes the memory, shortage harms before latency tells: there the engine is
-// taken for full once the gateways together, each granting as this one does, would fill it.
+// pressed tells whether the engine shows pressure: then the share binds. Latency shows it, and being full.
+// Where no line by priority takes what passes the memory, shortage harms before latency tells: there the
+// engine is taken for full once the gateways together, each granting as this one does, would fill it.
 func (b *Brain) pressed(e *engine, counted float64) bool {
 	full := (e.tally+counted)*float64(b.set.Gateways) > b.set.Kinds[e.kind].Memory
 	return e.scale < 1 || full && !b.lineByPriority()
@@ -372,8 +337,8 @@
 
 func (b *Brain) usable(e *engine) bool { return !e.doubted && b.now >= e.fullUntil }
 
-// onTrial tells whether a doubted engine, once rested, may have this job to show that it works: one at a time,
-// of the lightest class, restartable.
+// onTrial tells whether a doubted engine, once rested, may have this job to show that it works: one at a
+// time, of the lightest class, restartable.
 func (b *Brain) onTrial(e *engine, j *job) bool {
 	light := slices.MinFunc(b.classes, func(x, y *class) int { return cmp.Compare(x.mean, y.mean) })
 	return e.doubted && b.now >= max(e.restUntil, e.fullUntil) && len(e.live) == 0 &&
@@ -383,7 +348,8 @@
 // allowed tells whether the rules let this job go to this engine now.
 func (b *Brain) allowed(j *job, e *engine) bool {
 	c := j.class
-	if c.Zones != nil && !slices.Contains(c.Zones, e.zone) || c.Kinds != nil && !slices.Contains(c.Kinds, e.kind) {
+	if c.Zones != nil && !slices.Contains(c.Zones, e.zone) ||
+		c.Kinds != nil && !slices.Contains(c.Kinds, e.kind) {
 		return false
 	}
 	if slices.ContainsFunc(j.dispatches, func(d *dispatch) bool { return d.out && d.engine == e }) {
@@ -439,9 +405,10 @@
 }
 
 // homes are the engines that keep the job's data set warm: a hash ranks the engines for each set, the same at
-// every gateway, and the first two of the own zone are its homes. Loads hold their set, so they keep apart, each
-// gateway's on its own engines; where reads stand still behind them, loads take the far half of the ranking and
-// such reads the near one. It guards against loads that meet; few sets in use could crowd their homes.
+// every gateway, and the first two of the own zone are its homes. Loads hold their set, so they keep apart,
+// each gateway's on its own engines; where reads stand still behind them, loads take the far half of the
+// ranking and such reads the near one. It guards against loads that meet; few sets in use could crowd their
+// homes.
 func (b *Brain) homes(j *job) (homes []*engine, apart func(*engine) bool) {
 	ranked := slices.Clone(b.roster.fleet)
 	slices.SortFunc(ranked, func(x, y *engine) int { return cmp.Compare(x.rank(j.tables), y.rank(j.tables)) })
@@ -646,8 +613,8 @@
 	return sum
 }
 
-// silence is how unusual the engine's silence is, given the gaps seen before. Under a second it is none: a pause
-// may take as long, and moving jobs sooner costs more work than waiting.
+// silence is how unusual the engine's silence is, given the gaps seen before. Under a second it is none: a
+// pause may take as long, and moving jobs sooner costs more work than waiting.
 func (e *engine) silence(now float64) float64 {
 	if len(e.live) == 0 || now-max(e.heard, e.live[0].sent) < 1 {
 		return 0
@@ -666,8 +633,8 @@
 	return 2*(doubted+1) <= len(b.roster.fleet)
 }
 
-// silent finds an engine whose silence is far out of the ordinary, its own and the others'. It answers hangs and
-// machines gone without a word; a long pause can look the same and costs the work called off.
+// silent finds an engine whose silence is far out of the ordinary, its own and the others'. It answers hangs
+// and machines gone without a word; a long pause can look the same and costs the work called off.
 func (b *Brain) silent() bool {
 	const unusual = 16.0 // answers overdue over the usual: 8 doubted engines that were only slow
 	sum := 0.0
@@ -699,14 +666,16 @@
 	}
 }
 
-// movesOff tells whether the job could go elsewhere if this dispatch, its only one out, ended without an answer.
+// movesOff tells whether the job could go elsewhere if this dispatch, its only one out, ended without an
+// answer.
 func (b *Brain) movesOff(d *dispatch) bool {
 	j := d.job
 	return !j.ended && !j.begun && j.out == 1 && len(j.dispatches) < b.set.MostDispatches &&
 		(j.class.Effect == Restartable || j.class.Effect == Keyed && b.now < j.first().sent+j.class.Window-0.1)
 }
 
-// failing finds an engine with a high share of failures: quick ones make it look idle, and it would draw more.
+// failing finds an engine with a high share of failures: quick ones make it look idle, and it would draw
+// more.
 func (b *Brain) failing() bool {
 	for _, e := range b.roster.fleet {
 		bad := e.bad.sum(b.now, 4)
@@ -742,37 +711,20 @@
 	b.out.CallOff(d.job.id, d.number)
 }
 
-// Progress tells how far a dispatch is: topic 1 its share done, 2 that it spills, 3 that it waits. One at a fifth
-// of its expected pace has a bad plan, or a bad engine; a fresh dispatch will end before it.
+// Progress tells how far a dispatch is: topic 1 its share done, 2 that it spills, 3 that it waits. One at a
+// fifth of its expected pace has a bad plan, or a bad engine; a fresh dispatch will end before it.
 func (b *Brain) Progress(now float64, id uint32, number, topic int, amount float64) {
 	b.now = now
 	if j := b.jobs[id]; topic == 1 && j != nil && number < len(j.dispatches) && j.dispatches[number].out {
 		d := j.dispatches[number]
-		age := now - d.sent
-		if b.set.MayCancel && j.class.Effect == Restartable && age > d.run/2 && amount*5*d.run < age && b.movesOff(d) {
+		age, pace := now-d.sent, amount*d.run
+		if b.set.MayCancel && j.class.Effect == Restartable && age > d.run/2 && 5*pace < age && b.movesOff(d) {
 			b.spent = append(b.spent, d)
 		}
 	}
 	b.settle()
 }
 
-// Reported takes a load report, -1 for what it does not tell.
-func (b *Brain) Reported(now float64, id uint32, jobs, waiting, util, memory, disks float64) {
-	b.now = now
-}
-
-// Probed tells how a probe ended; a report that came with it has been told by Reported.
-func (b *Brain) Probed(now float64, id uint32, status Status) {
-	b.now = now
-	b.settle()
-}
-
-// Woken tells that a wake-up asked for is due.
-func (b *Brain) Woken(now float64) {
-	b.now = now
-	b.settle()
-}
-
 func (b *Brain) asleep() bool {
 	return b.now >= b.bell && (len(b.giveUps) > 0 || b.set.AskRoster && !b.roster.watched)
 }
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -2,6 +2,8 @@
 // holds the decisions; this file is what passes in and out of them.
 package brain
 
+import "cmp"
+
 // Effect tells what a repeat of a job may do.
 type Effect int
 
@@ -87,3 +89,63 @@
 	Watch()
 	Wake(after float64)
 }
+
+// The events that only tell something follow; Arrive, Outcome and Progress, on which decisions rest, are in
+// brain.go.
+
+// RosterBegins opens a roster message; Listed follows for each entry, then RosterEnds.
+func (b *Brain) RosterBegins(now float64, mode ListMode) {
+	b.now = now
+	b.roster.begin(mode)
+}
+
+// Listed takes in one entry of the roster.
+func (b *Brain) Listed(now float64, id uint32, zone, kind, cell int, ready bool, up float64) {
+	e := b.roster.entry(id, cmp.Or(b.set.FallWindow, 1)/10)
+	if up > e.up { // a new start: what was held against the old one is void
+		e.up, e.heard = up, now
+		e.doubted, e.restLength, e.fullUntil = false, 0, 0
+	}
+	e.zone, e.kind, e.cell, e.ready, e.listed = zone, kind, cell, ready, true
+}
+
+// RosterEnds closes a roster message.
+func (b *Brain) RosterEnds(now float64) {
+	b.roster.end()
+	b.settle()
+}
+
+// Begun tells that a streamed answer has started: it has no deadline from here.
+func (b *Brain) Begun(now float64, id uint32, number int) {
+	b.now = now
+	if j := b.jobs[id]; j != nil {
+		j.begun = true
+	}
+	b.settle()
+}
+
+// Withdrawn tells that the client has left.
+func (b *Brain) Withdrawn(now float64, id uint32) {
+	b.now = now
+	if j := b.jobs[id]; j != nil && !j.ended {
+		b.end(j)
+	}
+	b.settle()
+}
+
+// Reported takes a load report, -1 for what it does not tell.
+func (b *Brain) Reported(now float64, id uint32, jobs, waiting, util, memory, disks float64) {
+	b.now = now
+}
+
+// Probed tells how a probe ended; a report that came with it has been told by Reported.
+func (b *Brain) Probed(now float64, id uint32, status Status) {
+	b.now = now
+	b.settle()
+}
+
+// Woken tells that a wake-up asked for is due.
+func (b *Brain) Woken(now float64) {
+	b.now = now
+	b.settle()
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -95,7 +95,9 @@
 
 // holds tells whether a load of this gateway holds the data set there.
 func (e *engine) holds(tables uint32) bool {
-	return slices.ContainsFunc(e.live, func(d *dispatch) bool { return d.job.class.Load && d.job.tables == tables })
+	return slices.ContainsFunc(e.live, func(d *dispatch) bool {
+		return d.job.class.Load && d.job.tables == tables
+	})
 }
 
 // rank orders the engines for a data set, the same at every gateway.
@@ -120,7 +122,8 @@
 func (r *roster) entry(id uint32, bucket float64) *engine {
 	e := r.engines[id]
 	if e == nil {
-		e = &engine{id: id, slow: 1, scale: 1, gap: 1, ok: newRing(1, 5), bad: newRing(1, 5), sentWork: newRing(bucket, 11)}
+		e = &engine{id: id, slow: 1, scale: 1, gap: 1}
+		e.ok, e.bad, e.sentWork = newRing(1, 5), newRing(1, 5), newRing(bucket, 11)
 		r.engines[id] = e
 	}
 	return e
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -253,7 +253,9 @@
 		return fmt.Errorf("load report of %d values", n)
 	}
 	jobs, waiting, util, memory, disks := -1.0, -1.0, -1.0, -1.0, -1.0
-	slots := map[string]*float64{"busy_reqs": &jobs, "pending": &waiting, "cpu_share": &util, "x0": &memory, "x1": &disks}
+	slots := map[string]*float64{
+		"busy_reqs": &jobs, "pending": &waiting, "cpu_share": &util, "x0": &memory, "x1": &disks,
+	}
 	for i := range min(n, len(in.fields)) {
 		if slot := slots[in.fields[i]]; slot != nil {
 			*slot = rec.f32(at + 1 + 4*i)
