--- a/brain/brain.go
+++ b/brain/brain.go
@@ -637,14 +637,14 @@
 // and machines gone without a word; a long pause can look the same and costs the work called off.
 func (b *Brain) silent() bool {
 	const unusual = 16.0 // answers overdue over the usual: 8 doubted engines that were only slow
-	sum := 0.0
+	var all []float64
 	for _, e := range b.roster.fleet {
-		sum += min(e.silence(b.now), unusual)
+		all = append(all, e.silence(b.now))
 	}
+	slices.Sort(all)
 	for _, e := range b.roster.fleet {
-		s := e.silence(b.now)
 		fresh := !e.doubted && b.mayDoubt() || e.doubted && b.now >= e.restUntil
-		if fresh && s > unusual && s > 3*(sum-unusual)/float64(len(b.roster.fleet)) {
+		if s := e.silence(b.now); fresh && s > unusual && s > 3*all[(len(all)-1)/2] {
 			b.engine = e
 			return true
 		}
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,307 @@
+package brain
+
+import "testing"
+
+func TestGrants(t *testing.T) {
+	x := start(t, Settings{}, Class{})
+	x.list(Whole, true, 0, 1, 2)
+	x.arrive(1, 0, 0, 1, 0)    // nothing told or learned: no grant named
+	x.arrive(2, 0, 0, 1, 1000) // a quarter over
+	x.arrive(3, 0, 0, 1, 10)   // the least
+	x.arrive(4, 0, 0, 1, 5000) // the most
+	x.tallies()
+	x.outcome(1, 0, Done)
+	x.arrive(5, 0, 0, 1, 0) // half over what answers told
+	x.check()
+}
+
+func TestQueueReleasesInArrivalOrder(t *testing.T) {
+	x := start(t, Settings{}, Class{})
+	x.list(Whole, true, 0, 1)
+	for id := range uint32(7) {
+		x.arrive(id+1, 0, 0, 1, 5000)
+	}
+	x.outcome(2, 0, Done)
+	x.outcome(1, 0, Done)
+	x.tallies()
+	x.check()
+}
+
+func TestShareBindsUnderPressure(t *testing.T) {
+	x := start(t, Settings{Gateways: 4, Line: true, Priorities: true}, Class{})
+	x.list(Whole, true, 0, 1)
+	x.arrive(1, 0, 0, 1, 1600)
+	x.arrive(2, 0, 0, 1, 1600) // past the share, but the engine shows no pressure and the pool has room
+	x.outcome(1, 0, Full)
+	x.pass(0.5)
+	x.tallies()
+	x.check()
+}
+
+func TestFullQueueThrottles(t *testing.T) {
+	x := start(t, Settings{MostComeBack: 2}, Class{Aim: 1000})
+	x.list(Whole, false, 0, 1)
+	for id := range uint32(201) {
+		x.Arrive(0, id+1, 0, 0, 0, 2000, 1, 100, 0, false)
+	}
+	x.tallies()
+	x.check()
+}
+
+func TestHopelessIsThrottled(t *testing.T) {
+	x := start(t, Settings{MostComeBack: 2}, Class{Aim: 2})
+	x.list(Whole, false, 0, 1)
+	x.arrive(1, 0, 0, 1, 100)
+	x.pass(3)
+	x.tallies()
+	x.check()
+}
+
+// Of the held jobs up to one that would end late by its turn, the one of least billed value for its work goes.
+func TestLongestGivesWay(t *testing.T) {
+	x := start(t, Settings{}, Class{Aim: 4})
+	x.list(Whole, true, 0, 1)
+	for id := range uint32(4) {
+		x.arrive(id+1, 0, 0, 1, 5000)
+	}
+	x.pass(0.5)
+	x.outcome(1, 0, Done) // one second of work a second is what gets done
+	x.arrive(5, 0, 0, 1, 5000)
+	x.arrive(6, 0, 0, 4, 5000)
+	x.arrive(7, 0, 0, 1, 5000)
+	x.arrive(8, 0, 0, 1, 5000)
+	x.pass(0.6)
+	x.check()
+}
+
+func TestOverShareGivesWay(t *testing.T) {
+	x := start(t, Settings{OverWorth: 0.1, Tenants: []float64{1}}, Class{Aim: 3})
+	x.list(Whole, true, 0, 1)
+	x.arrive(1, 0, 0, 1, 5000)
+	x.pass(0.5)
+	x.outcome(1, 0, Done)
+	for id := range uint32(8) {
+		x.arrive(id+2, 0, 0, 1, 5000)
+	}
+	x.pass(0.6)
+	x.check()
+}
+
+func TestOneFinalAnswer(t *testing.T) {
+	x := start(t, Settings{MayCancel: true}, Class{Effect: RunOnce})
+	x.list(Whole, true, 0, 1)
+	x.arrive(1, 0, 0, 1, 100)
+	x.pass(10.01)
+	x.outcome(1, 0, CalledOff)
+	x.arrive(2, 0, 0, 1, 100)
+	x.Withdrawn(x.at, 2)
+	x.outcome(2, 0, Done)
+	x.tallies()
+	x.check()
+}
+
+func TestRunOnce(t *testing.T) {
+	x := start(t, Settings{MostComeBack: 2}, Class{Effect: RunOnce})
+	x.list(Whole, true, 0, 1, 2)
+	x.arrive(1, 0, 0, 1, 100)
+	x.outcome(1, 0, Full) // never ran: again
+	x.outcome(1, 1, Failed)
+	x.arrive(2, 0, 0, 1, 100)
+	x.outcome(2, 0, NoConnection)
+	x.list(Changes, false, 0, 1, 2)
+	x.outcome(2, 1, NoConnection)
+	x.pass(6) // never ran: throttled
+	x.check()
+}
+
+func TestKeyedStaysInGroupAndWindow(t *testing.T) {
+	x := start(t, Settings{}, Class{Effect: Keyed, Group: GroupZone, Window: 2, Aim: 9},
+		Class{Effect: Keyed, Group: GroupAll, Window: 2, Aim: 9})
+	x.list(Whole, true, 0, 1, 101)
+	x.arrive(1, 0, 0, 1, 100)
+	x.outcome(1, 0, Failed)
+	x.outcome(1, 1, Failed)
+	x.pass(1.95)
+	x.outcome(1, 2, Failed) // the window is over, and a throttle would not be harmless
+	x.arrive(2, 1, 0, 1, 100)
+	x.pass(4)
+	x.outcome(2, 0, Failed) // here it is
+	x.check()
+}
+
+func TestKeyOrderAndRest(t *testing.T) {
+	x := start(t, Settings{KeyRest: 1}, Class{InOrder: true, Effect: Keyed, Aim: 9, Window: 5})
+	x.list(Whole, true, 0, 1, 2, 3)
+	x.arrive(1, 0, 5, 1, 100)
+	x.arrive(2, 0, 5, 1, 100)
+	x.arrive(3, 0, 6, 1, 100)
+	x.arrive(4, 0, 0, 1, 100)
+	x.outcome(1, 0, Reset) // its own further dispatch does not rest
+	x.outcome(1, 1, Done)
+	x.pass(1.1)
+	x.outcome(2, 0, Done)
+	x.check()
+}
+
+func TestPlacementHolds(t *testing.T) {
+	x := start(t, Settings{}, Class{Zones: []int{1}}, Class{Kinds: []int{0}})
+	x.list(Whole, true, 0, 1, 101)
+	x.arrive(1, 0, 0, 1, 100)
+	x.arrive(2, 1, 0, 1, 100)
+	x.outcome(1, 0, NoConnection)
+	x.pass(0.5) // rather held than sent elsewhere
+	x.outcome(2, 0, Failed)
+	x.tallies()
+	x.check()
+}
+
+func TestFurtherDispatchesStayInBudget(t *testing.T) {
+	x := start(t, Settings{ExtraWindow: 1, ExtraFree: 1, ExtraShare: 0.5}, Class{})
+	x.list(Whole, true, 0, 1, 2, 3)
+	for id := range uint32(4) {
+		x.arrive(id+1, 0, 0, 1, 100)
+	}
+	for id := range uint32(4) {
+		x.outcome(id+1, 0, Full)
+	}
+	x.pass(0.5)
+	x.pass(1.5) // the window has passed
+	x.check()
+}
+
+func TestDrainAndStaleList(t *testing.T) {
+	x := start(t, Settings{}, Class{})
+	x.list(Cached, true, 0, 1, 2)
+	x.list(Changes, false, 0, 1)
+	for id := range uint32(3) {
+		x.arrive(id+1, 0, 0, 1, 100)
+	}
+	x.list(Whole, true, 0, 3)
+	x.arrive(4, 0, 0, 1, 100)
+	x.check()
+}
+
+func TestColdBudgetIsParted(t *testing.T) {
+	x := start(t, Settings{Gateways: 2, Cold: 10, ColdFrom: 0.5, FallMultiple: 2, FallWindow: 1}, Class{})
+	x.pass(1)
+	x.list(Whole, true, 1, 1)
+	for id := range uint32(4) {
+		x.arrive(id+1, 0, 0, 1, 100) // 2 s of work is half of this gateway's half of 8 s
+	}
+	x.pass(2.2)
+	x.check()
+}
+
+func TestRosterThatHasToBeAsked(t *testing.T) {
+	x := start(t, Settings{AskRoster: true}, Class{})
+	x.list(Cached, true, 0, 1)
+	x.list(Missing, true, 0)
+	x.pass(2.5)
+	x.list(Changes, true, 0, 2)
+	x.pass(6)
+	x.check()
+}
+
+func TestStreamHasNoDeadline(t *testing.T) {
+	x := start(t, Settings{MayCancel: true}, Class{})
+	x.list(Whole, true, 0, 1)
+	x.arrive(1, 0, 0, 1, 100)
+	x.Begun(x.at, 1, 0)
+	x.pass(20)
+	x.outcome(1, 0, Done)
+	x.tallies()
+	x.check()
+}
+
+// A hung engine takes jobs and answers none: it is doubted, its jobs move, one light job tries it later.
+func TestSilentEngine(t *testing.T) {
+	x := start(t, Settings{MayCancel: true}, Class{Aim: 30}, Class{Aim: 60, Effect: RunOnce})
+	x.list(Whole, true, 0, 1, 2)
+	for id := range uint32(12) {
+		x.arrive(id+1, 0, uint64(id), 0.1, 100)
+	}
+	x.arrive(13, 1, 0, 0.1, 100)
+	for id := range uint32(13) {
+		if d := x.jobs[id+1].dispatches[0]; d.engine.id == 2 {
+			x.outcome(id+1, 0, Done)
+		}
+	}
+	x.pass(1.2)
+	for id := range uint32(12) {
+		if j := x.jobs[id+1]; j != nil {
+			x.outcome(id+1, 0, CalledOff)
+		}
+	}
+	x.pass(2.5)
+	for id := range uint32(4) {
+		x.arrive(20+id, 0, uint64(id), 0.1, 100) // one of them tries the engine
+	}
+	x.pass(5)
+	x.check()
+}
+
+// Everything slow at once: none is doubted, nothing moves.
+func TestAllSilentNoneDoubted(t *testing.T) {
+	x := start(t, Settings{MayCancel: true}, Class{Aim: 30})
+	x.list(Whole, true, 0, 1, 2, 3)
+	for id := range uint32(12) {
+		x.arrive(id+1, 0, uint64(id), 0.1, 100)
+	}
+	x.pass(6)
+	x.check()
+}
+
+// An engine that fails quickly looks idle; it rests, longer at each relapse.
+func TestFailingEngine(t *testing.T) {
+	x := start(t, Settings{}, Class{Aim: 30})
+	x.list(Whole, true, 0, 1, 2)
+	for id := range uint32(10) {
+		x.arrive(id+1, 0, uint64(id), 0.1, 100)
+		if d := x.jobs[id+1].dispatches[0]; d.engine.id == 1 {
+			x.outcome(id+1, 0, Failed)
+		}
+	}
+	x.pass(1.5)
+	x.arrive(11, 0, 0, 0.1, 100)
+	x.check()
+}
+
+// A dispatch at a fifth of its pace has a bad plan: it is called off and sent again.
+func TestRunaway(t *testing.T) {
+	x := start(t, Settings{MayCancel: true}, Class{Aim: 30})
+	x.list(Whole, true, 0, 1, 2)
+	x.arrive(1, 0, 0, 2, 100)
+	x.pass(1)
+	x.Progress(x.at, 1, 0, 1, 0.01)
+	x.outcome(1, 0, CalledOff)
+	x.pass(1.5)
+	x.Progress(x.at, 1, 1, 1, 0.4)
+	x.check()
+}
+
+// Whatever the order of outcomes, clients leaving and engines leaving, nothing stays booked.
+func TestTalliesReturnToZero(t *testing.T) {
+	x := start(t, Settings{MayCancel: true, MayCopy: true}, Class{}, Class{Effect: RunOnce}, Class{Effect: Keyed})
+	x.list(Whole, true, 0, 1, 2, 3)
+	for id := range uint32(30) {
+		x.Arrive(x.at, id, int(id)%3, 0, 0, 10, 0.7, 700, id%5, false)
+	}
+	x.list(Changes, false, 0, 2)
+	for id := range uint32(30) {
+		if id%7 == 0 {
+			x.Withdrawn(x.at, id)
+		}
+		if j := x.jobs[id]; j != nil && j.out > 0 {
+			x.Outcome(x.at, id, 0, Status(id%8), 0.1, id%8 == 0, 0.7, 700)
+		}
+	}
+	x.pass(11)
+	for id := range uint32(30) {
+		for n := range 5 {
+			x.Outcome(x.at, id, n, CalledOff, 11, true, 0, 0)
+		}
+	}
+	x.lines = nil
+	x.tallies()
+	x.check()
+}
