--- a/brain/brain.go
+++ b/brain/brain.go
@@ -726,7 +726,8 @@
 }
 
 func (b *Brain) asleep() bool {
-	return b.now >= b.bell && (len(b.giveUps) > 0 || b.set.AskRoster && !b.roster.watched)
+	const hair = 0.001 // a wake-up may come that much before the time asked for, which must not end them
+	return b.now > b.bell-hair && (len(b.giveUps) > 0 || b.set.AskRoster && !b.roster.watched)
 }
 
 // wake asks to be woken in 10 ms: often enough for the grace of the answers and for the queues.
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -146,6 +146,6 @@
 
 // Woken tells that a wake-up asked for is due.
 func (b *Brain) Woken(now float64) {
-	b.now, b.bell = now, now // it may come a hair before the time asked for, which must not end the wake-ups
+	b.now = now
 	b.settle()
 }
