--- a/brain/brain.go
+++ b/brain/brain.go
@@ -283,11 +283,12 @@
 	return 8
 }
 
-// share is the part of an engine's memory that this gateway may have granted at once. The page's twice the
-// memory never bound before engines thrashed.
+// share is the part of an engine's memory that this gateway may have granted at once. The page's twice the memory
+// never bound before engines thrashed; its floor of one maximum grant, kept by every one of five gateways, was
+// more than an engine has. An engine without open grants of ours takes any one job instead.
 func (b *Brain) share(e *engine) float64 {
 	memory := b.set.Kinds[e.kind].Memory
-	return max(memory*e.scale/float64(b.set.Gateways), memory/4)
+	return memory * e.scale / float64(b.set.Gateways)
 }
 
 // pressed tells whether the engine shows pressure: then the share binds. Latency shows it, and being full.
@@ -301,7 +302,7 @@
 // fits tells whether both tallies have room.
 func (b *Brain) fits(j *job, e *engine, pool float64) bool {
 	_, counted := b.grant(j, e)
-	return (!b.pressed(e, counted) || e.tally+counted <= b.share(e)) && j.class.tally+counted <= pool
+	return (!b.pressed(e, counted) || e.tally == 0 || e.tally+counted <= b.share(e)) && j.class.tally+counted <= pool
 }
 
 // pool is the memory that the class may have granted: the shares of all usable engines. What is booked on the
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -305,3 +305,15 @@
 	x.tallies()
 	x.check()
 }
+
+// Found on a recorded day: five gateways that may each hold one maximum grant overfill an engine for good.
+func TestManyGatewaysPartAnEngine(t *testing.T) {
+	x := start(t, Settings{Gateways: 5}, Class{})
+	x.list(Whole, true, 0, 1, 2)
+	for id := range uint32(3) {
+		x.arrive(id+1, 0, 0, 1, 5000) // one on each engine, the third is held
+	}
+	x.outcome(2, 0, Done)
+	x.tallies()
+	x.check()
+}
