--- a/brain/brain.go
+++ b/brain/brain.go
@@ -195,19 +195,18 @@
 	}
 	for _, c := range b.classes {
 		rate, ahead := c.done.most(), 0.0
-		b.job = nil
-		for _, j := range c.queue {
-			if b.job == nil || j.density(b.set.OverWorth) <= b.job.density(b.set.OverWorth) {
-				b.job = j
-			}
+		for i, j := range c.queue {
 			wait := j.wait(b.now)
 			if j.line == nil && rate > 0 {
 				wait = ahead / rate
 			}
-			if left := j.aim() - b.now - c.run(j); left < 0 {
+			if left := j.aim() - b.now - c.run(j); left < wait {
 				b.job = j
-				return true
-			} else if left < wait {
+				for _, o := range c.queue[:i] {
+					if left >= 0 && o.line == j.line && o.density(b.set.OverWorth) < b.job.density(b.set.OverWorth) {
+						b.job = o
+					}
+				}
 				return true
 			}
 			ahead += j.work
