Take three passed trials before an engine is trusted again

Guards against engines that fail only a part of their jobs: one lucky answer brought them back. It could harm where an engine recovers at once: three light jobs one after another are some 0.3 s.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -564,7 +564,8 @@
 	case Done:
 		e.hear(now)
 		e.ok.add(now, 1)
-		e.doubted = false
+		e.passed++
+		e.doubted = e.doubted && e.passed < 3 // one answer may be luck where a part fails
 		if work > 0 {
 			const keep = 0.98 // about the last fifty answers
 			c.answers, c.memory = c.answers*keep+1, c.memory*keep+memory
@@ -696,7 +697,7 @@
 	}
 	e.restLength = min(max(2*e.restLength, 1), 8)
 	e.restUntil = b.now + e.restLength
-	e.doubted = true
+	e.doubted, e.passed = true, 0
 	clear(e.bad.buckets)
 }
 
--- a/brain/state.go
+++ b/brain/state.go
@@ -90,6 +90,7 @@
 	fullUntil             float64
 	restUntil, restLength float64
 	doubted               bool
+	passed                int // trials passed since
 	ok, bad, sentWork     ring
 }
 
