--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,133 @@
+package simwire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the traces anew")
+
+// check compares lines with the trace kept under testdata.
+func check(t *testing.T, lines []string) {
+	t.Helper()
+	file := "testdata/" + strings.TrimPrefix(t.Name(), "Test") + ".trace"
+	got := strings.Join(lines, "\n") + "\n"
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("trace differs from %s (-kept +got):\n%s", file, diff)
+	}
+}
+
+// batch puts a batch together from records written in hex, each filled up to its size, and a tail.
+func batch(t *testing.T, number uint32, tail string, records ...string) []byte {
+	var body strings.Builder
+	for _, r := range records {
+		r = strings.ReplaceAll(r, " ", "")
+		body.WriteString(r + strings.Repeat("00", eventSize-len(r)/2))
+	}
+	body.WriteString(hex.EncodeToString([]byte(tail)))
+	size := headerRest + body.Len()/2
+	frame, err := hex.DecodeString(fmt.Sprintf("%08x%08x%08x4020d3126e978d50%s", number, len(records), size, body.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return frame
+}
+
+// play serves the input and prints the replies, a record a line.
+func play(in []byte) []string {
+	var out bytes.Buffer
+	err := Serve(bytes.NewReader(in), &out)
+	var lines []string
+	for out.Len() >= 12 {
+		head := out.Next(12)
+		lines = append(lines, hex.EncodeToString(head))
+		for range int(head[11]) {
+			lines = append(lines, "  "+hex.EncodeToString(out.Next(actionSize)))
+		}
+		if tail := int(head[6])<<8 + int(head[7]) - 4 - int(head[11])*actionSize; tail > 0 {
+			lines = append(lines, fmt.Sprintf("  tail %q", out.Next(tail)))
+		}
+	}
+	return append(lines, fmt.Sprint("error: ", err))
+}
+
+const setup = "classes.count=1\nclasses.0.objective=9.0\nclasses.0.repeat=pure\nhost-types=a\nunknown.key=5\n" +
+	"family-info.kind-cores=8\nfamily-info.ram-of-kind-mb=8192.0\nallowed.try-limit=2\nfamily-info.grants=true\n"
+
+var (
+	opened = fmt.Sprintf("09 0000000000000007 00000000 %08x", len(setup))
+	sel    = "0b 00000003"
+	// One engine, ready, as the page's example of a table has it.
+	entryHex = "03124a07 00 0000 0000 01 3f800000 0000000000000000"
+	tail     = setup + string(unhex(entryHex))
+	table    = fmt.Sprintf("07 0000 %08x 00000001", len(setup))
+	cached   = "00 02 0000000000000029 0000"
+	arrival  = "06 5d3a91c4 00 00000000 91f03b7c55d20a64 40214df3b645a1cb 3f889374bc6a7efa 43c00000 41300000 01"
+)
+
+func unhex(s string) []byte {
+	b, err := hex.DecodeString(strings.ReplaceAll(s, " ", ""))
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func TestFrames(t *testing.T) {
+	in := append(batch(t, 1, ""), batch(t, 2, tail, sel, opened, table, cached, arrival)...)
+	in = append(in, batch(t, 3, "", sel, "02 5d3a91c4 01f7 3f92f1a9fbe76c8b 00 0000 00000000 03124a07 00")...)
+	in = append(in, batch(t, 4, "", sel, "02 5d3a91c4 00c8 3f92f1a9fbe76c8b 01 0001 00011060 03124a07 01 40400000")...)
+	in = append(in, batch(t, 5, "", sel, "0a 0e6f2b19", "0c 0000004d", "05")...)
+	check(t, play(in))
+}
+
+func TestSettingsMissing(t *testing.T) {
+	in := batch(t, 1, "", sel, "09 0000000000000007", "0c 00000000")
+	check(t, play(in))
+}
+
+func TestPanicIsTold(t *testing.T) {
+	// A class that the settings do not have.
+	in := batch(t, 1, tail, sel, opened, table, cached, strings.Replace(arrival, "5d3a91c4 00", "5d3a91c4 09", 1))
+	check(t, play(in))
+}
+
+func TestMalformed(t *testing.T) {
+	good := batch(t, 2, tail, sel, opened, table, cached)
+	var lines []string
+	for _, c := range []struct {
+		name string
+		in   []byte
+	}{
+		{"header cut short", good[:7]},
+		{"frame cut short", good[:100]},
+		{"length too small", unhex("00000002 00000003 00000008 4020d3126e978d50")},
+		{"length without its bytes", unhex("00000002 00000000 ffffffff 4020d3126e978d50")},
+		{"clock no number", unhex("00000002 00000000 00000008 7ff8000000000001")},
+		{"tail reference out of range", batch(t, 2, setup, sel, opened, table)},
+		{"unknown record code", batch(t, 2, tail, sel, opened, "63")},
+		{"unknown instance", batch(t, 2, tail, sel, "0c 00000001")},
+		{"no instance selected", batch(t, 2, tail, "0c 00000001")},
+		{"unknown table", batch(t, 2, tail, sel, opened, cached)},
+		{"unknown outcome", batch(t, 2, tail, sel, opened, table, cached, "02 5d3a91c4 0063")},
+	} {
+		lines = append(append(lines, c.name), play(c.in)...)
+	}
+	check(t, lines)
+}
