--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -98,6 +98,10 @@
 func (x *trace) CallOff(job uint32, dispatch int) { x.act("call off job %d.%d", job, dispatch) }
 func (x *trace) Probe(engine uint32)              { x.act("probe engine %d", engine) }
 func (x *trace) Watch()                           { x.act("watch the roster") }
+func (x *trace) Close(engine uint32)              { x.act("close engine %d", engine) }
+func (x *trace) Fetch()                           { x.act("fetch the roster") }
+func (x *trace) Tell(gateway uint16, text []byte) { x.act("tell gateway %d %q", gateway, text) }
+func (x *trace) Remark(text string)               { x.act("remark %q", text) }
 func (x *trace) Wake(after float64)               { x.bell = x.at + after }
 
 // tallies writes down what is booked.
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -86,7 +86,11 @@
 	CancelForGood(job uint32)
 	CallOff(job uint32, dispatch int)
 	Probe(engine uint32)
-	Watch()
+	Close(engine uint32)              // idle connections
+	Watch()                           // the roster, from now on
+	Fetch()                           // the roster, once
+	Tell(gateway uint16, text []byte) // all peers: the largest number
+	Remark(text string)
 	Wake(after float64)
 }
 
@@ -138,6 +142,11 @@
 	b.now = now
 }
 
+// Told hands over a peer's message. None is asked for yet: nothing may depend on peers.
+func (b *Brain) Told(now float64, from int, text []byte) {
+	b.now = now
+}
+
 // Probed tells how a probe ended; a report that came with it has been told by Reported.
 func (b *Brain) Probed(now float64, id uint32, status Status) {
 	b.now = now
--- a/internal/simwire/actions.go
+++ b/internal/simwire/actions.go
@@ -72,12 +72,28 @@
 
 func (a *actions) Watch() { a.record(10)[1] = 1 }
 
+func (a *actions) Fetch() { a.record(11) }
+
+func (a *actions) Close(engine uint32) {
+	binary.BigEndian.PutUint32(a.record(6)[1:], engine)
+}
+
+func (a *actions) Tell(gateway uint16, text []byte) {
+	rec := a.record(7)
+	binary.BigEndian.PutUint16(rec[1:], gateway)
+	a.tail(rec[3:], text)
+}
+
+func (a *actions) Remark(text string) { a.tail(a.record(8)[1:], []byte(text)) }
+
 func (a *actions) Wake(after float64) { putF64(a.record(4)[1:], after) }
 
-func (a *actions) die(text string) {
-	rec := a.record(9)
+func (a *actions) die(text string) { a.tail(a.record(9)[1:], []byte(text)) }
+
+// tail puts bytes into the reply's tail and where they are into the record.
+func (a *actions) tail(ref, text []byte) {
 	f := &a.link.reply
-	binary.BigEndian.PutUint32(rec[1:], uint32(len(f.tail)))
-	binary.BigEndian.PutUint32(rec[5:], uint32(len(text)))
+	binary.BigEndian.PutUint32(ref, uint32(len(f.tail)))
+	binary.BigEndian.PutUint32(ref[4:], uint32(len(text)))
 	f.tail = append(f.tail, text...)
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -219,9 +219,11 @@
 		b.Outcome(now, rec.u32(1), int(rec.u16(16)), status, rec.f64(7), rec.u8(15) != 0,
 			float64(bill>>12)/1000, float64(bill&4095)*4)
 	case codeWhisper:
-		if _, err := rec.ref(3, 1); err != nil {
+		text, err := rec.ref(3, 1)
+		if err != nil {
 			return err
 		}
+		b.Told(now, int(rec.u16(1)), text)
 	case codeUpdate:
 		b.Progress(now, rec.u32(1), int(rec.u16(10)), int(rec.u8(9)), rec.f32(12))
 	case codeArrival:
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -97,6 +97,29 @@
 	check(t, play(in))
 }
 
+// Every action, with the page's own figures where it gives them.
+func TestActions(t *testing.T) {
+	l := &Link{}
+	a := &actions{link: l, who: 3}
+	a.Dispatch(0x5d3a91c4, 0x03124a07, 0.08)
+	a.Terms(0x5d3a91c4, 2, 640)
+	a.Tell(0xffff, []byte("hi 7"))
+	a.Wake(0.5)
+	a.Throttle(1, 2)
+	a.CancelForGood(1)
+	a.CallOff(1, 2)
+	a.Probe(7)
+	a.Close(7)
+	a.Watch()
+	a.Fetch()
+	(&actions{link: l, who: 5}).Remark("two servers known")
+	var lines []string
+	for r := l.reply.records; len(r) > 0; r = r[actionSize:] {
+		lines = append(lines, hex.EncodeToString(r[:actionSize]))
+	}
+	check(t, append(lines, string(l.reply.tail)))
+}
+
 func TestSettingsMissing(t *testing.T) {
 	in := batch(t, 1, "", sel, "09 0000000000000007", "0c 00000000")
 	check(t, play(in))
