Let a cold engine's share grow with its warmth

The largest part of an engine that one job may have bounds the grants; settings that the module does not read are gone.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -225,16 +225,15 @@
 }
 
 // wait is how long the jobs before it with its key will take.
-func (j *job) wait(now float64) float64 {
-	sum := 0.0
-	for j.line != nil && j.line.jobs[0] != j {
-		for _, o := range j.line.jobs[:slices.Index(j.line.jobs, j)] {
-			sum += o.class.run(o)
-			if o.out > 0 {
-				sum -= min(now-o.dispatches[0].sent, o.class.run(o))
-			}
+func (j *job) wait(now float64) (sum float64) {
+	if j.line == nil {
+		return 0
+	}
+	for _, o := range j.line.jobs[:slices.Index(j.line.jobs, j)] {
+		sum += o.class.run(o)
+		if o.out > 0 {
+			sum -= min(now-o.dispatches[0].sent, o.class.run(o))
 		}
-		break
 	}
 	return sum
 }
@@ -258,7 +257,7 @@
 // as well) costs room.
 func (b *Brain) grant(j *job, e *engine) (named, counted float64) {
 	k, c := b.set.Kinds[e.kind], j.class
-	most := k.Memory / 4
+	most := k.Memory * min(0.25, cmp.Or(b.set.LargestShare, 1))
 	least := min(k.Memory*c.Threads/(b.threadsPerCore()*k.Cores), most)
 	switch {
 	case j.memory > 0:
@@ -289,7 +288,7 @@
 // gateways, was more than an engine has. An engine without open grants of ours takes any one job instead.
 func (b *Brain) share(e *engine) float64 {
 	memory := b.set.Kinds[e.kind].Memory
-	return memory * e.scale / float64(b.set.Gateways)
+	return memory * e.scale * b.warmth(e) / float64(b.set.Gateways)
 }
 
 // pressed tells whether the engine shows pressure: then the share binds. Latency shows it, and being full.
@@ -297,7 +296,7 @@
 // engine is taken for full once the gateways together, each granting as this one does, would fill it.
 func (b *Brain) pressed(e *engine, counted float64) bool {
 	full := (e.tally+counted)*float64(b.set.Gateways) > b.set.Kinds[e.kind].Memory
-	return e.scale < 1 || full && !b.lineByPriority()
+	return e.scale*b.warmth(e) < 1 || full && !b.lineByPriority()
 }
 
 // fits tells whether both tallies have room.
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -50,10 +50,10 @@
 // Times are seconds, memory is megabytes.
 type Settings struct {
 	Index, Gateways, Zone                    int
-	AskRoster, MayCancel, MayCopy, MayProbe  bool
+	AskRoster, MayCancel, MayCopy            bool
 	Grants, Priorities, Line                 bool
 	MostDispatches                           int
-	MostComeBack, Grace                      float64
+	MostComeBack                             float64
 	Cold, ColdFrom, FallMultiple, FallWindow float64
 	KeyRest                                  float64
 	ExtraFree, ExtraShare, ExtraWindow       float64
@@ -70,12 +70,12 @@
 
 // Class is a reservation type. Zones and Kinds, where not nil, bind it.
 type Class struct {
-	Aim, Stretch, Timeout, Worth, Late, Window float64
-	Effect                                     Effect
-	Group                                      Group
-	InOrder, Load, Waits                       bool
-	Threads                                    float64
-	Zones, Kinds                               []int
+	Aim, Stretch, Worth, Window float64
+	Effect                      Effect
+	Group                       Group
+	InOrder, Load, Waits        bool
+	Threads                     float64
+	Zones, Kinds                []int
 }
 
 // Actions is the way out. Jobs and engines go by the ids they came in with.
