--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,6 +43,7 @@
 }{
 	{(*Brain).unwatched, (*Brain).watch},
 	{(*Brain).timeUp, (*Brain).giveUp},
+	{(*Brain).stalled, (*Brain).forgive},
 	{(*Brain).silent, (*Brain).doubt},
 	{(*Brain).failing, (*Brain).rest},
 	{(*Brain).hasSpent, (*Brain).callOff},
@@ -302,7 +303,8 @@
 // fits tells whether both tallies have room.
 func (b *Brain) fits(j *job, e *engine, pool float64) bool {
 	_, counted := b.grant(j, e)
-	return (!b.pressed(e, counted) || e.tally == 0 || e.tally+counted <= b.share(e)) && j.class.tally+counted <= pool
+	fits := !b.pressed(e, counted) || e.tally == 0 || e.tally+counted <= b.share(e)
+	return fits && j.class.tally+counted <= pool
 }
 
 // pool is the memory that the class may have granted: the shares of all usable engines. What is booked on the
@@ -467,16 +469,16 @@
 	return l == nil || len(j.dispatches) > 0 || l.jobs[0] == j && l.out == 0 && now >= l.restUntil
 }
 
-// mayAgain tells whether the rules let the job have a further dispatch at all.
-func (b *Brain) mayAgain(j *job) bool {
-	if j.ended || j.begun || len(j.dispatches) >= b.set.MostDispatches || j.out > 0 && !b.set.MayCopy {
-		return false
-	}
+// mayRepeat tells whether the rules let the job have a further dispatch, whatever it still has out.
+func (b *Brain) mayRepeat(j *job) bool {
 	d := j.first()
-	return d == nil || j.class.Effect == Restartable ||
-		j.class.Effect == Keyed && b.now < d.sent+j.class.Window-0.1 // a margin for clocks and ticks
+	return !j.ended && !j.begun && len(j.dispatches) < b.set.MostDispatches &&
+		(d == nil || j.class.Effect == Restartable ||
+			j.class.Effect == Keyed && b.now < d.sent+j.class.Window-0.1) // a margin for clocks and ticks
 }
 
+func (b *Brain) mayAgain(j *job) bool { return (j.out == 0 || b.set.MayCopy) && b.mayRepeat(j) }
+
 // withinBudget keeps further dispatches within their budget in any window: the extra are summed over a bucket
 // more than the window, the jobs taken over a bucket less.
 func (b *Brain) withinBudget() bool {
@@ -624,6 +626,17 @@
 	return e.overdue(now) / max(e.gap, 0.5)
 }
 
+// stalled tells that this gateway itself stood still: a wake-up is far behind its time. The silence of
+// engines meanwhile is its own.
+func (b *Brain) stalled() bool { return b.bell > 0 && b.now > b.bell+0.1 }
+
+func (b *Brain) forgive() {
+	b.bell = b.now
+	for _, e := range b.roster.fleet {
+		e.heard = b.now
+	}
+}
+
 // mayDoubt keeps half of the fleet in use whatever it looks like: when all are slow at once none is to blame.
 func (b *Brain) mayDoubt() bool {
 	doubted := 0
@@ -659,7 +672,7 @@
 	b.rest()
 	for _, d := range b.engine.live {
 		switch {
-		case !b.movesOff(d):
+		case d.job.out > 1 || !b.mayRepeat(d.job):
 		case b.set.MayCancel:
 			b.spent = append(b.spent, d)
 		case b.set.MayCopy && !slices.Contains(b.again, d.job):
@@ -668,14 +681,6 @@
 	}
 }
 
-// movesOff tells whether the job could go elsewhere if this dispatch, its only one out, ended without an
-// answer.
-func (b *Brain) movesOff(d *dispatch) bool {
-	j := d.job
-	return !j.ended && !j.begun && j.out == 1 && len(j.dispatches) < b.set.MostDispatches &&
-		(j.class.Effect == Restartable || j.class.Effect == Keyed && b.now < j.first().sent+j.class.Window-0.1)
-}
-
 // failing finds an engine with a high share of failures: quick ones make it look idle, and it would draw
 // more.
 func (b *Brain) failing() bool {
@@ -720,7 +725,8 @@
 	if j := b.jobs[id]; topic == 1 && j != nil && number < len(j.dispatches) && j.dispatches[number].out {
 		d := j.dispatches[number]
 		age, pace := now-d.sent, amount*d.run
-		if b.set.MayCancel && j.class.Effect == Restartable && age > d.run/2 && 5*pace < age && b.movesOff(d) {
+		runaway := age > d.run/2 && 5*pace < age
+		if runaway && b.set.MayCancel && j.class.Effect == Restartable && j.out == 1 && b.mayRepeat(j) {
 			b.spent = append(b.spent, d)
 		}
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -57,7 +57,8 @@
 	x.check()
 }
 
-// Of the held jobs up to one that would end late by its turn, the one of least billed value for its work goes.
+// Of the held jobs up to one that would end late by its turn, the one of least billed value for its work
+// goes.
 func TestLongestGivesWay(t *testing.T) {
 	x := start(t, Settings{}, Class{Aim: 4})
 	x.list(Whole, true, 0, 1)
@@ -251,6 +252,25 @@
 	x.check()
 }
 
+// Found on a recorded day: a gateway that stood still itself took its engines' answers, late in the same
+// batch, for silence.
+func TestOwnStallIsNoSilence(t *testing.T) {
+	x := start(t, Settings{MayCancel: true}, Class{Aim: 30})
+	x.list(Whole, true, 0, 1, 2)
+	for id := range uint32(8) {
+		x.arrive(id+1, 0, uint64(id), 0.1, 100)
+	}
+	for id := range uint32(8) {
+		if d := x.jobs[id+1].dispatches[0]; d.engine.id == 2 {
+			x.outcome(id+1, 0, Done) // engine 2 has nothing open, so engine 1 alone could be silent
+		}
+	}
+	x.at = 3
+	x.say("nothing came for three seconds")
+	x.Woken(x.at)
+	x.check()
+}
+
 // An engine that fails quickly looks idle; it rests, longer at each relapse.
 func TestFailingEngine(t *testing.T) {
 	x := start(t, Settings{}, Class{Aim: 30})
@@ -281,7 +301,8 @@
 
 // Whatever the order of outcomes, clients leaving and engines leaving, nothing stays booked.
 func TestTalliesReturnToZero(t *testing.T) {
-	x := start(t, Settings{MayCancel: true, MayCopy: true}, Class{}, Class{Effect: RunOnce}, Class{Effect: Keyed})
+	x := start(t, Settings{MayCancel: true, MayCopy: true},
+		Class{}, Class{Effect: RunOnce}, Class{Effect: Keyed})
 	x.list(Whole, true, 0, 1, 2, 3)
 	for id := range uint32(30) {
 		x.Arrive(x.at, id, int(id)%3, 0, 0, 10, 0.7, 700, id%5, false)
