--- a/brain/brain.go
+++ b/brain/brain.go
@@ -592,10 +592,6 @@
 		e.bad.add(now, 1)
 	case NoConnection, Reset:
 		e.bad.add(now, 3) // the process is gone: nothing else would fail so
-	case CalledOff, TimedOut:
-		if d.moved {
-			e.bad.add(now, 1)
-		}
 	}
 }
 
@@ -722,10 +718,12 @@
 // fifth of its expected pace has a bad plan, or a bad engine; a fresh dispatch will end before it.
 func (b *Brain) Progress(now float64, id uint32, number, topic int, amount float64) {
 	b.now = now
-	if j := b.jobs[id]; topic == 1 && j != nil && number < len(j.dispatches) && j.dispatches[number].out {
+	if j := b.jobs[id]; j != nil && number < len(j.dispatches) && j.dispatches[number].out {
 		d := j.dispatches[number]
-		age, pace := now-d.sent, amount*d.run
-		runaway := age > d.run/2 && 5*pace < age
+		if topic == 1 && amount > d.share {
+			d.engine.heard, d.share = now, amount // work goes on: no silence, whatever is waited for
+		}
+		runaway := topic == 1 && now-d.sent > max(d.run/2, 5*amount*d.run)
 		if runaway && b.set.MayCancel && j.class.Effect == Restartable && j.out == 1 && b.mayRepeat(j) {
 			b.spent = append(b.spent, d)
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -338,3 +338,27 @@
 	x.tallies()
 	x.check()
 }
+
+// Found on a recorded day: jobs that stood still behind a load made their engines look hung, though progress
+// was told.
+func TestProgressIsNoSilence(t *testing.T) {
+	x := start(t, Settings{MayCancel: true}, Class{Aim: 30, Effect: Keyed, Window: 60})
+	x.list(Whole, true, 0, 1, 2)
+	for id := range uint32(8) {
+		x.arrive(id+1, 0, uint64(id), 0.1, 100)
+	}
+	for id := range uint32(8) {
+		if d := x.jobs[id+1].dispatches[0]; d.engine.id == 2 {
+			x.outcome(id+1, 0, Done)
+		}
+	}
+	for i := range 4 {
+		x.pass(float64(i+1) * 0.8)
+		for id := range uint32(8) {
+			x.Progress(x.at, id+1, 0, 1, float64(i+1)/10)
+		}
+	}
+	x.say("no more word")
+	x.pass(6)
+	x.check()
+}
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -142,7 +142,7 @@
 	b.now = now
 }
 
-// Told hands over a peer's message. None is asked for yet: nothing may depend on peers.
+// Told hands over a peer's message. Nothing is made of it: nothing may depend on peers.
 func (b *Brain) Told(now float64, from int, text []byte) {
 	b.now = now
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -38,6 +38,7 @@
 	number          int
 	sent, run       float64 // run: the time expected
 	grant, work     float64
+	share           float64 // done, as last told
 	out, ran, moved bool
 }
 
