Doubt an engine from 32 times the usual silence on

Cause: with one to three jobs out, 16 was passed by one slow job. It could harm by a doubt that comes later where few jobs are out.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -647,7 +647,7 @@
 // silent finds an engine whose silence is far out of the ordinary, its own and the others'. It answers hangs
 // and machines gone without a word; a long pause can look the same and costs the work called off.
 func (b *Brain) silent() bool {
-	const unusual = 16.0 // answers overdue over the usual: 8 doubted engines that were only slow
+	const unusual = 32.0 // answers overdue over the usual: at 8 or 16, engines that were only slow were doubted
 	var all []float64
 	for _, e := range b.roster.fleet {
 		all = append(all, e.silence(b.now))
