--- a/brain/brain.go
+++ b/brain/brain.go
@@ -74,7 +74,7 @@
 		guess := c.Aim * c.Threads / 3
 		b.classes = append(b.classes, &class{Class: c, slow: 1.2, mean: guess, done: newRing(1, 10)})
 	}
-	const room = 1.5 // a gateway may see more than an even part of a tenant: at 1, jobs within the share gave way
+	const room = 1.5 // gateways see uneven parts of a tenant: at 1, jobs within the share gave way
 	for _, rate := range set.Tenants {
 		b.tenants = append(b.tenants, &tenant{rate: room * rate / float64(set.Gateways), tokens: rate})
 	}
