--- a/brain/brain.go
+++ b/brain/brain.go
@@ -71,7 +71,7 @@
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time, at a pace near the best.
-		guess := c.Aim * c.Threads / 3
+		guess := c.SLA * c.Threads / 3
 		b.classes = append(b.classes, &class{Class: c, slow: 1.2, mean: guess, done: newRing(1, 10)})
 	}
 	const room = 1.5 // gateways see uneven parts of a tenant: at 1, jobs within the share gave way
@@ -133,9 +133,9 @@
 	return true
 }
 
-// aim is the clock time up to which an answer earns the whole billed value.
-func (j *job) aim() float64 {
-	return min(j.taken+j.class.Aim+j.class.Stretch*j.work/j.class.Threads, j.giveUp)
+// inTime is the clock time up to which an answer earns the whole billed value.
+func (j *job) inTime() float64 {
+	return min(j.taken+j.class.SLA+j.class.Stretch*j.work/j.class.Threads, j.giveUp)
 }
 
 // run is the learned run time of a job of the class.
@@ -202,10 +202,10 @@
 			if j.line == nil && rate > 0 {
 				wait = ahead / rate
 			}
-			if left := j.aim() - b.now - c.run(j); left < wait {
+			if left := j.inTime() - b.now - c.run(j); left < wait {
 				b.job = j
 				for _, o := range c.queue[:i] {
-					if left >= 0 && o.line == j.line && o.density(b.set.OverWorth) < b.job.density(b.set.OverWorth) {
+					if left >= 0 && o.line == j.line && o.density(b.set.OverValue) < b.job.density(b.set.OverValue) {
 						b.job = o
 					}
 				}
@@ -219,11 +219,11 @@
 }
 
 // density is the billed value for the work, less for what passes the tenant's share.
-func (j *job) density(overWorth float64) float64 {
+func (j *job) density(overValue float64) float64 {
 	if j.over {
-		return j.class.Worth * overWorth / j.work
+		return j.class.Value * overValue / j.work
 	}
-	return j.class.Worth / j.work
+	return j.class.Value / j.work
 }
 
 // wait is how long the jobs before it with its key will take.
@@ -490,7 +490,7 @@
 // stuck finds a job waiting to go again that may not, or would end late.
 func (b *Brain) stuck() bool {
 	for _, j := range b.again {
-		if j.out == 0 && (!b.mayAgain(j) || b.now+j.class.run(j) > j.aim()) {
+		if j.out == 0 && (!b.mayAgain(j) || b.now+j.class.run(j) > j.inTime()) {
 			b.job = j
 			return true
 		}
@@ -582,7 +582,7 @@
 		pace := took * c.Threads / max(work, 0.001)
 		c.slow += 0.05 * (min(pace, 20) - c.slow)
 		e.slow += 0.1 * (min(pace/c.slow, 10) - e.slow)
-		e.strain += 0.1 * (min(took/(c.Aim+c.Stretch*work/c.Threads), 3) - e.strain)
+		e.strain += 0.1 * (min(took/(c.SLA+c.Stretch*work/c.Threads), 3) - e.strain)
 		b.adapt(e)
 	case Full:
 		e.hear(now)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -39,7 +39,7 @@
 }
 
 func TestFullQueueThrottles(t *testing.T) {
-	x := start(t, Settings{MostComeBack: 2}, Class{Aim: 1000})
+	x := start(t, Settings{MostComeBack: 2}, Class{SLA: 1000})
 	x.list(Whole, false, 0, 1)
 	for id := range uint32(201) {
 		x.Arrive(0, id+1, 0, 0, 0, 2000, 1, 100, 0, false)
@@ -49,7 +49,7 @@
 }
 
 func TestHopelessIsThrottled(t *testing.T) {
-	x := start(t, Settings{MostComeBack: 2}, Class{Aim: 2})
+	x := start(t, Settings{MostComeBack: 2}, Class{SLA: 2})
 	x.list(Whole, false, 0, 1)
 	x.arrive(1, 0, 0, 1, 100)
 	x.pass(3)
@@ -60,7 +60,7 @@
 // Of the held jobs up to one that would end late by its turn, the one of least billed value for its work
 // goes.
 func TestLongestGivesWay(t *testing.T) {
-	x := start(t, Settings{}, Class{Aim: 4})
+	x := start(t, Settings{}, Class{SLA: 4})
 	x.list(Whole, true, 0, 1)
 	for id := range uint32(4) {
 		x.arrive(id+1, 0, 0, 1, 5000)
@@ -76,7 +76,7 @@
 }
 
 func TestOverShareGivesWay(t *testing.T) {
-	x := start(t, Settings{OverWorth: 0.1, Tenants: []float64{1}}, Class{Aim: 3})
+	x := start(t, Settings{OverValue: 0.1, Tenants: []float64{1}}, Class{SLA: 3})
 	x.list(Whole, true, 0, 1)
 	x.arrive(1, 0, 0, 1, 5000)
 	x.pass(0.5)
@@ -116,8 +116,8 @@
 }
 
 func TestKeyedStaysInGroupAndWindow(t *testing.T) {
-	x := start(t, Settings{}, Class{Effect: Keyed, Group: GroupZone, Window: 2, Aim: 9},
-		Class{Effect: Keyed, Group: GroupAll, Window: 2, Aim: 9})
+	x := start(t, Settings{}, Class{Effect: Keyed, Group: GroupZone, Window: 2, SLA: 9},
+		Class{Effect: Keyed, Group: GroupAll, Window: 2, SLA: 9})
 	x.list(Whole, true, 0, 1, 101)
 	x.arrive(1, 0, 0, 1, 100)
 	x.outcome(1, 0, Failed)
@@ -131,7 +131,7 @@
 }
 
 func TestKeyOrderAndRest(t *testing.T) {
-	x := start(t, Settings{KeyRest: 1}, Class{InOrder: true, Effect: Keyed, Aim: 9, Window: 5})
+	x := start(t, Settings{KeyRest: 1}, Class{InOrder: true, Effect: Keyed, SLA: 9, Window: 5})
 	x.list(Whole, true, 0, 1, 2, 3)
 	x.arrive(1, 0, 5, 1, 100)
 	x.arrive(2, 0, 5, 1, 100)
@@ -216,7 +216,7 @@
 
 // A hung engine takes jobs and answers none: it is doubted, its jobs move, one light job tries it later.
 func TestSilentEngine(t *testing.T) {
-	x := start(t, Settings{MayCancel: true}, Class{Aim: 30}, Class{Aim: 60, Effect: RunOnce})
+	x := start(t, Settings{MayCancel: true}, Class{SLA: 30}, Class{SLA: 60, Effect: RunOnce})
 	x.list(Whole, true, 0, 1, 2)
 	for id := range uint32(12) {
 		x.arrive(id+1, 0, uint64(id), 0.1, 100)
@@ -243,7 +243,7 @@
 
 // Everything slow at once: none is doubted, nothing moves.
 func TestAllSilentNoneDoubted(t *testing.T) {
-	x := start(t, Settings{MayCancel: true}, Class{Aim: 30})
+	x := start(t, Settings{MayCancel: true}, Class{SLA: 30})
 	x.list(Whole, true, 0, 1, 2, 3)
 	for id := range uint32(12) {
 		x.arrive(id+1, 0, uint64(id), 0.1, 100)
@@ -255,7 +255,7 @@
 // Found on a recorded day: a gateway that stood still itself took its engines' answers, late in the same
 // batch, for silence.
 func TestOwnStallIsNoSilence(t *testing.T) {
-	x := start(t, Settings{MayCancel: true}, Class{Aim: 30})
+	x := start(t, Settings{MayCancel: true}, Class{SLA: 30})
 	x.list(Whole, true, 0, 1, 2)
 	for id := range uint32(8) {
 		x.arrive(id+1, 0, uint64(id), 0.1, 100)
@@ -273,7 +273,7 @@
 
 // An engine that fails quickly looks idle; it rests, longer at each relapse.
 func TestFailingEngine(t *testing.T) {
-	x := start(t, Settings{}, Class{Aim: 30})
+	x := start(t, Settings{}, Class{SLA: 30})
 	x.list(Whole, true, 0, 1, 2)
 	for id := range uint32(10) {
 		x.arrive(id+1, 0, uint64(id), 0.1, 100)
@@ -288,7 +288,7 @@
 
 // A dispatch at a fifth of its pace has a bad plan: it is called off and sent again.
 func TestRunaway(t *testing.T) {
-	x := start(t, Settings{MayCancel: true}, Class{Aim: 30})
+	x := start(t, Settings{MayCancel: true}, Class{SLA: 30})
 	x.list(Whole, true, 0, 1, 2)
 	x.arrive(1, 0, 0, 2, 100)
 	x.pass(1)
@@ -342,7 +342,7 @@
 // Found on a recorded day: jobs that stood still behind a load made their engines look hung, though progress
 // was told.
 func TestProgressIsNoSilence(t *testing.T) {
-	x := start(t, Settings{MayCancel: true}, Class{Aim: 30, Effect: Keyed, Window: 60})
+	x := start(t, Settings{MayCancel: true}, Class{SLA: 30, Effect: Keyed, Window: 60})
 	x.list(Whole, true, 0, 1, 2)
 	for id := range uint32(8) {
 		x.arrive(id+1, 0, uint64(id), 0.1, 100)
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -30,9 +30,9 @@
 	set.Kinds = []Kind{{Cores: 8, Memory: 8000}, {Cores: 8, Memory: 8000}}
 	for i := range classes {
 		c := &classes[i]
-		c.Threads, c.Worth = 2, 1
-		if c.Aim == 0 {
-			c.Aim = 5
+		c.Threads, c.Value = 2, 1
+		if c.SLA == 0 {
+			c.SLA = 5
 		}
 	}
 	set.Classes = classes
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -57,7 +57,7 @@
 	Cold, ColdFrom, FallMultiple, FallWindow float64
 	KeyRest                                  float64
 	ExtraFree, ExtraShare, ExtraWindow       float64
-	OverWorth, LargestShare                  float64
+	OverValue, LargestShare                  float64
 	Kinds                                    []Kind
 	Classes                                  []Class
 	Tenants                                  []float64 // jobs a second within each share, over all gateways
@@ -70,7 +70,7 @@
 
 // Class is a reservation type. Zones and Kinds, where not nil, bind it.
 type Class struct {
-	Aim, Stretch, Worth, Window float64
+	SLA, Stretch, Value, Window float64
 	Effect                      Effect
 	Group                       Group
 	InOrder, Load, Waits        bool
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -89,7 +89,7 @@
 		ExtraFree:      v.num("contract.budget-free"),
 		ExtraShare:     v.num("contract.resend-ratio"),
 		ExtraWindow:    v.num("contract.counted-over"),
-		OverWorth:      v.num("over-share-worth"),
+		OverValue:      v.num("over-share-worth"),
 		LargestShare:   v.num("family-info.largest-share"),
 	}
 	if v.yes("allowed.retry-after") {
@@ -104,9 +104,9 @@
 	for i := range v.count("classes.count") {
 		p := "classes." + strconv.Itoa(i) + "."
 		c := brain.Class{
-			Aim:     v.num(p + "objective"),
+			SLA:     v.num(p + "objective"),
 			Stretch: v.num(p + "aim-stretch"),
-			Worth:   v.num(p + "worth"),
+			Value:   v.num(p + "worth"),
 			Window:  v.num(p + "window"),
 			InOrder: v.yes(p + "fifo-by-key"),
 			Load:    v.at("family-info.writes-tables", i) == "true",
