Decide at full size: read engines before long jobs, part the cold budget by hash

Changes: long jobs wait 15 ms for readings of the granted memory of the engines drawn for them; above its even part a class has room for chance where engines' lines go by priority, less as readings fill; the cold budget goes by halves in a hash's order of the gateways; a silence is judged against the longest gap of late at any engine, a failure against the few answers seen; wake-ups are 10 ms apart only while jobs are held.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,15 +1,14 @@
 // The decisions of one gateway. Call New, then one method for each event with the time now; what is decided
 // leaves through Actions before the method returns. Settings and Actions are in iface.go, plain types in
-// state.go.
-//
-// A job becomes a memory grant, clamped between bounds. It is dispatched where this gateway's own tallies, by
-// engine and by class, have room for the grant, and is held in its class's queue otherwise. All else here is
-// an exception to that; docs/design.md tells when each one acts.
+// state.go. A job becomes a memory grant, clamped between bounds. It is dispatched where this gateway's own
+// tallies, by engine and by class, have room for the grant, and is held in its class's queue otherwise. All
+// else here is an exception to that; docs/design.md tells when each one acts.
 package brain
 
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 )
 
@@ -21,7 +20,7 @@
 	now     float64
 	roster  roster
 	jobs    map[uint32]*job // the door: ids become objects here
-	lines   map[uint64]*keyLine
+	lines   keyLines
 	classes []*class
 	tenants []*tenant
 
@@ -30,7 +29,11 @@
 	spent        []*dispatch // to be called off
 	taken, extra ring
 
-	askAt, swept, bell float64
+	suspect   *engine // failed a dispatch just now
+	usualRead float64 // share of memory granted, at the mean of what was read
+	overdue   ring    // the longest at any answer
+
+	askAt, swept, looked, freed, bell float64
 
 	job    *job // what the rule that fires is about
 	engine *engine
@@ -49,6 +52,7 @@
 	{(*Brain).hasSpent, (*Brain).callOff},
 	{(*Brain).stuck, (*Brain).throttle},
 	{(*Brain).hopeless, (*Brain).throttle},
+	{(*Brain).unread, (*Brain).read},
 	{(*Brain).movable, (*Brain).dispatch},
 	{(*Brain).admissible, (*Brain).dispatch},
 	{(*Brain).overflowing, (*Brain).throttle},
@@ -67,7 +71,7 @@
 // New makes the module of one gateway.
 func New(seed uint64, set Settings, out Actions) *Brain {
 	b := &Brain{set: set, out: out, dice: dice{seed: seed}, roster: roster{engines: map[uint32]*engine{}},
-		jobs: map[uint32]*job{}, lines: map[uint64]*keyLine{}}
+		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10)}
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time, at a pace near the best.
@@ -85,7 +89,7 @@
 
 func (b *Brain) unwatched() bool { return b.set.AskRoster && !b.roster.watched && b.now >= b.askAt }
 
-// watch asks again after a second or two, so that a failed call is not repeated by all gateways at once.
+// watch asks again after a second or two, so that not all gateways repeat a failed call at once.
 func (b *Brain) watch() {
 	b.askAt = b.now + 1 + b.dice.draw()
 	b.out.Watch()
@@ -106,23 +110,18 @@
 	}
 	b.jobs[id] = j
 	b.taken.add(now, 1)
-	if tenant < len(b.tenants) {
-		j.over = !b.tenants[tenant].take(now)
+	if j.value = c.Value; tenant < len(b.tenants) && !b.tenants[tenant].take(now) {
+		j.value *= b.set.OverValue
 	}
 	if c.InOrder && key != 0 {
-		if b.lines[key] == nil {
-			b.lines[key] = &keyLine{}
-		}
-		j.line = b.lines[key]
-		j.line.jobs = append(j.line.jobs, j)
+		b.lines.join(key, j)
 	}
 	heap.Push(&b.giveUps, j)
 	c.queue = append(c.queue, j)
 	b.settle()
 }
 
-// take counts a job against the tenant's share; two seconds of it may come at once, so that bursts are not
-// cut.
+// take counts a job against the tenant's share; bursts are not cut, for two seconds of it may come at once.
 func (t *tenant) take(now float64) bool {
 	t.tokens = min(t.tokens+(now-t.at)*t.rate, 2*t.rate)
 	t.at = now
@@ -133,14 +132,6 @@
 	return true
 }
 
-// inTime is the clock time up to which an answer earns the whole billed value.
-func (j *job) inTime() float64 {
-	return min(j.taken+j.class.SLA+j.class.Stretch*j.work/j.class.Threads, j.giveUp)
-}
-
-// run is the learned run time of a job of the class.
-func (c *class) run(j *job) float64 { return j.work / c.Threads * c.slow }
-
 // end closes a job: nothing more is sent for it, and what it still has out is called off.
 func (b *Brain) end(j *job) {
 	j.ended = true
@@ -159,14 +150,8 @@
 }
 
 func (b *Brain) timeUp() bool {
-	for len(b.giveUps) > 0 && (b.giveUps[0].ended || b.giveUps[0].begun) {
-		heap.Pop(&b.giveUps)
-	}
-	if len(b.giveUps) == 0 || b.giveUps[0].giveUp > b.now {
-		return false
-	}
-	b.job = b.giveUps[0]
-	return true
+	b.job = b.giveUps.first()
+	return b.job != nil && b.job.giveUp <= b.now
 }
 
 func (b *Brain) giveUp() {
@@ -189,8 +174,7 @@
 
 // hopeless finds a job to throttle because it, or one behind it, would end past its SLA time: time left is
 // under the learned run time, or would be by its turn. Then, as Moore and Hodgson do, the one of least billed
-// value for its work among those up to there gives way. It answers overload of any cause; a wrong estimate of
-// the pace could throttle what would have been done.
+// value for its work among those up to there gives way. A wrong estimate of the pace throttles too much.
 func (b *Brain) hopeless() bool {
 	if b.now < b.swept+0.02 { // the queues are looked through every fourth tick or so
 		return false
@@ -205,7 +189,7 @@
 			if left := j.inTime() - b.now - c.run(j); left < wait {
 				b.job = j
 				for _, o := range c.queue[:i] {
-					if left >= 0 && o.line == j.line && o.density(b.set.OverValue) < b.job.density(b.set.OverValue) {
+					if left >= 0 && o.line == j.line && o.value/o.work < b.job.value/b.job.work {
 						b.job = o
 					}
 				}
@@ -218,28 +202,6 @@
 	return false
 }
 
-// density is the billed value for the work, less for what passes the tenant's share.
-func (j *job) density(overValue float64) float64 {
-	if j.over {
-		return j.class.Value * overValue / j.work
-	}
-	return j.class.Value / j.work
-}
-
-// wait is how long the jobs before it with its key will take.
-func (j *job) wait(now float64) (sum float64) {
-	if j.line == nil {
-		return 0
-	}
-	for _, o := range j.line.jobs[:slices.Index(j.line.jobs, j)] {
-		sum += o.class.run(o)
-		if o.out > 0 {
-			sum -= min(now-o.dispatches[0].sent, o.class.run(o))
-		}
-	}
-	return sum
-}
-
 const queueLength = 200 // as the post has it
 
 func (b *Brain) overflowing() bool {
@@ -256,11 +218,16 @@
 
 // grant is the memory that a dispatch names, 0 for none, and what the tallies count for it. The page's
 // quarter over the estimate left many jobs short, and spilling jobs run longest; 0.6 over it (0.5 to 0.8 do
-// as well) costs room.
-func (b *Brain) grant(j *job, e *engine) (named, counted float64) {
-	k, c := b.set.Kinds[e.kind], j.class
+// as well) costs room. The least grant lets the page's 8 threads a core fill the memory; where engines' own
+// lines put short jobs first it is 3, so that the line keeps cores from thrashing for all gateways (2 idles
+// engines).
+func (b *Brain) grant(j *job, k Kind) (named, counted float64) {
+	c, threads := j.class, 8.0
+	if b.lineByPriority() {
+		threads = 3
+	}
 	most := k.Memory * min(0.25, cmp.Or(b.set.LargestShare, 1))
-	least := min(k.Memory*c.Threads/(b.threadsPerCore()*k.Cores), most)
+	least := min(k.Memory*c.Threads/(threads*k.Cores), most)
 	switch {
 	case j.memory > 0:
 		named = min(max(1.6*j.memory, least), most)
@@ -275,46 +242,34 @@
 // lineByPriority tells whether an engine's own line takes what passes its memory, and the short jobs first.
 func (b *Brain) lineByPriority() bool { return b.set.Line && b.set.Priorities }
 
-// threadsPerCore sets the least grant: so many threads a core fill the memory. The page's 8 leaves cores to
-// thrash; a line by priority keeps them from it for all gateways at once if 3 fill the memory (2 idles
-// engines).
-func (b *Brain) threadsPerCore() float64 {
-	if b.lineByPriority() {
-		return 3
-	}
-	return 8
-}
-
 // share is the part of an engine's memory that this gateway may have granted at once. The page's twice the
 // memory never bound before engines thrashed; its floor of one maximum grant, kept by every one of five
 // gateways, was more than an engine has. An engine without open grants of ours takes any one job instead.
 func (b *Brain) share(e *engine) float64 {
-	memory := b.set.Kinds[e.kind].Memory
-	return memory * e.scale * b.warmth(e) / float64(b.set.Gateways)
-}
-
-// pressed tells whether the engine shows pressure: then the share binds. Latency shows it, and being full.
-// Where no line by priority takes what passes the memory, shortage harms before latency tells: there the
-// engine is taken for full once the gateways together, each granting as this one does, would fill it.
-func (b *Brain) pressed(e *engine, counted float64) bool {
-	full := (e.tally+counted)*float64(b.set.Gateways) > b.set.Kinds[e.kind].Memory
-	return e.scale*b.warmth(e) < 1 || full && !b.lineByPriority()
+	return b.set.Kinds[e.kind].Memory * b.warmth(e) / float64(b.set.Gateways)
 }
 
-// fits tells whether both tallies have room.
+// fits tells whether both tallies have room. The engine's binds under pressure: while it is cold or slow, has
+// lately been full, or would be if the gateways together granted as this one does; a line by priority bears
+// that.
 func (b *Brain) fits(j *job, e *engine, pool float64) bool {
-	_, counted := b.grant(j, e)
-	fits := !b.pressed(e, counted) || e.tally == 0 || e.tally+counted <= b.share(e)
-	return fits && j.class.tally+counted <= pool
+	k := b.set.Kinds[e.kind]
+	_, counted := b.grant(j, k)
+	crowd := (e.tally+counted)*float64(b.set.Gateways) > k.Memory && !b.lineByPriority()
+	pressed := b.warmth(e) < 1 || e.slow > 2 || e.fullUntil > 0 && b.now < e.fullUntil+2 || crowd
+	return (!pressed || e.tally == 0 || e.tally+counted <= b.share(e)) && j.class.tally+counted <= pool
 }
 
 // pool is the memory that the class may have granted: the shares of all usable engines. What is booked on the
-// others, a hung one's grants above all, takes no room from it.
+// others, a hung one's grants above all, takes no room from it. Where the engines' lines go by priority, a
+// gateway with few jobs has room for chance above that, the less the fuller the engines are read: an even
+// part of many held jobs that the fleet had room for. Elsewhere such room jammed the fleet.
 func (b *Brain) pool(c *class) float64 {
-	sum := 0.0
+	sum, most := 0.0, 0.0
 	for _, e := range b.roster.fleet {
 		if b.usable(e) {
 			sum += b.share(e)
+			most = max(most, b.set.Kinds[e.kind].Memory/4)
 			continue
 		}
 		for _, d := range e.live {
@@ -323,18 +278,12 @@
 			}
 		}
 	}
-	return sum
-}
-
-// adapt moves the engine's share: down by a part while its run times near the SLA times, else up by a little.
-// The page's sign, latency over its best, swung with warm sets and pauses.
-func (b *Brain) adapt(e *engine) {
-	const near = 0.4 // of the SLA time, at the mean: the slower half still ends in time
-	if e.strain > near {
-		e.scale = max(e.scale*0.97, 0.05) // answers come by the hundred: some 3 s from all to a half
-	} else {
-		e.scale = min(e.scale+0.01, 1)
+	if !b.lineByPriority() {
+		return sum
 	}
+	// A grant and twice the spread of a count with that mean, up to six tenths read; none when all is
+	// granted.
+	return sum + min(max(2.5*(1-b.usualRead), 0), 1)*(most+2*math.Sqrt(sum*most))
 }
 
 // ---- the choice of engine
@@ -352,28 +301,25 @@
 // allowed tells whether the rules let this job go to this engine now.
 func (b *Brain) allowed(j *job, e *engine) bool {
 	c := j.class
-	if c.Zones != nil && !slices.Contains(c.Zones, e.zone) ||
-		c.Kinds != nil && !slices.Contains(c.Kinds, e.kind) {
-		return false
-	}
-	if slices.ContainsFunc(j.dispatches, func(d *dispatch) bool { return d.out && d.engine == e }) {
-		return false
-	}
-	if d := j.first(); d != nil && c.Effect == Keyed {
-		if c.Group == GroupZone && e.zone != d.engine.zone || c.Group == GroupCell && e.cell != d.engine.cell {
-			return false
-		}
-	}
-	return b.withinCold(j, e)
+	d := j.first()
+	repeat := d != nil && c.Effect == Keyed
+	return (c.Zones == nil || slices.Contains(c.Zones, e.zone)) &&
+		(c.Kinds == nil || slices.Contains(c.Kinds, e.kind)) &&
+		!slices.ContainsFunc(j.dispatches, func(d *dispatch) bool { return d.out && d.engine == e }) &&
+		!(repeat && c.Group == GroupZone && e.zone != d.engine.zone) &&
+		!(repeat && c.Group == GroupCell && e.cell != d.engine.cell) &&
+		b.withinCold(j, e)
 }
 
 // withinCold keeps this gateway's part of a cold engine's budget, half of it kept back for wrong estimates.
+// By a hash the first gateway has half of that, the second a quarter and so on: within the budget for any
+// number of gateways, and some can bear a whole job.
 func (b *Brain) withinCold(j *job, e *engine) bool {
 	if b.warmth(e) == 1 {
 		return true
 	}
 	budget := b.set.FallMultiple * b.set.ColdFrom * b.set.Kinds[e.kind].Cores * b.set.FallWindow
-	return e.sentWork.sum(b.now, 11)+j.work <= budget/2/float64(b.set.Gateways)
+	return e.sentWork.sum(b.now, 11)+j.work <= math.Ldexp(budget/2, -1-e.turn)
 }
 
 // warmth is the share of its full pace that an engine has, taken to grow evenly from its start on.
@@ -384,62 +330,117 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(b.now-e.up, 0)/b.set.Cold
 }
 
-// place finds the engine for a job: of two random fitting ones and its homes, that with the least own work.
+// place finds the engine for a job: of two random fitting ones and its homes, that with the least load.
 func (b *Brain) place(j *job) *engine {
-	var fit []*engine
-	pool := b.pool(j.class)
-	for _, e := range b.roster.fleet {
-		if (b.usable(e) || b.onTrial(e, j)) && b.allowed(j, e) && b.fits(j, e, pool) {
-			fit = append(fit, e)
-		}
+	c := j.class
+	if c.tried > b.freed && b.now < c.tried+0.05 { // nothing has ended since it fitted nowhere
+		return nil
 	}
-	if len(fit) == 0 {
+	if b.draft(j); len(j.draft) == 0 {
+		c.tried = b.now
 		return nil
 	}
+	homes, _ := b.homes(j)
+	return slices.MinFunc(j.draft, func(x, y *engine) int {
+		return cmp.Compare(b.load(x, j, homes), b.load(y, j, homes))
+	})
+}
+
+// draft draws the engines that are compared for the job, and keeps to them while they fit.
+func (b *Brain) draft(j *job) {
+	pool := b.pool(j.class)
+	misfit := func(e *engine) bool {
+		return !b.usable(e) && !b.onTrial(e, j) || !b.allowed(j, e) || !b.fits(j, e, pool)
+	}
+	if j.draft = slices.DeleteFunc(j.draft, misfit); len(j.draft) > 0 || j.class.tally >= pool {
+		return
+	}
+	const draws = 6 // then the fleet is gone through in turn, at last without keeping apart
 	homes, apart := b.homes(j)
-	fit = prefer(fit, apart)
-	at := int(b.dice.draw() * float64(len(fit)))
-	best, other := fit[at], fit[(at+1+int(b.dice.draw()*float64(len(fit)-1)))%len(fit)]
-	for _, e := range append(homes, other) {
-		if slices.Contains(fit, e) && b.load(e, j, homes) < b.load(best, j, homes) {
-			best = e
+	at, n := 0, len(b.roster.fleet)
+	for i := 0; i < 2*n+draws && len(j.draft) < 2 && (i < n+draws || len(j.draft) == 0); i++ {
+		if i <= draws {
+			at = int(b.dice.draw() * float64(n))
+		}
+		e := b.roster.fleet[(at+i)%n]
+		if (apart(e) || i >= n+draws) && !misfit(e) && !slices.Contains(j.draft, e) {
+			j.draft = append(j.draft, e)
+		}
+	}
+	for _, e := range homes {
+		if !misfit(e) && !slices.Contains(j.draft, e) {
+			j.draft = append(j.draft, e)
 		}
 	}
-	return best
 }
 
-// homes are the engines that keep the job's data set warm: a hash ranks the engines for each set, the same at
-// every gateway, and the first two of the own zone are its homes. Loads hold their set, so they keep apart,
-// each gateway's on its own engines; where reads stand still behind them, loads take the far half of the
-// ranking and such reads the near one. It guards against loads that meet; few sets in use could crowd their
-// homes.
+// unread finds a held job worth its probes: what this gateway has on an engine says little where many share
+// it. Jobs under 0.3 s would lose more by waiting than by a poor choice.
+func (b *Brain) unread() bool {
+	for _, c := range b.classes {
+		b.job = c.next(b.now)
+		if b.set.TellsMemory && b.job != nil && b.job.read == 0 && b.job.work > 0.3 && b.place(b.job) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// read probes the engines that the job may go to, but for those asked a moment ago.
+func (b *Brain) read() {
+	b.job.read = b.now
+	for _, e := range b.job.draft {
+		if b.now > e.asked+0.3 { // reports are no fresher
+			e.asked = b.now
+			b.out.Probe(e.id)
+		}
+	}
+}
+
+// Reported takes a load report, -1 for what it does not tell.
+func (b *Brain) Reported(now float64, id uint32, jobs, waiting, util, memory, disks float64) {
+	b.now = now
+	if e := b.roster.engines[id]; e != nil && memory >= 0 {
+		e.granted, e.readAt, e.since = memory, now, 0
+		b.usualRead += 0.05 * (memory - b.usualRead)
+	}
+}
+
+// homes are the engines that keep the job's data set warm: the first two of the own zone in an order by hash,
+// the same at every gateway. Loads hold their set, so they avoid an engine where this gateway has one of that
+// set; where reads stand still behind them, loads take the order's far half and such reads the near one. It
+// guards against loads that meet; few sets in use could crowd their homes.
 func (b *Brain) homes(j *job) (homes []*engine, apart func(*engine) bool) {
-	ranked := slices.Clone(b.roster.fleet)
-	slices.SortFunc(ranked, func(x, y *engine) int { return cmp.Compare(x.rank(j.tables), y.rank(j.tables)) })
+	ranked := b.roster.rank(j.tables)
 	near := func(e *engine) bool { return 2*slices.Index(ranked, e) < len(ranked) }
 	waits := slices.ContainsFunc(b.classes, func(c *class) bool { return c.Waits })
 	if !j.class.Load {
-		homes = prefer(ranked, func(e *engine) bool { return e.zone == b.set.Zone })
-		homes = homes[:min(2, len(homes))]
+		for _, e := range ranked {
+			if len(homes) < 2 && e.zone == b.set.Zone {
+				homes = append(homes, e)
+			}
+		}
 	}
 	return homes, func(e *engine) bool {
-		switch {
-		case j.class.Load && waits:
-			return !near(e) && !e.holds(j.tables)
-		case j.class.Load:
-			return slices.Index(ranked, e)%b.set.Gateways == b.set.Index && !e.holds(j.tables)
+		if j.class.Load {
+			return !e.holds(j.tables) && !(waits && near(e))
 		}
 		return !j.class.Waits || near(e) && !e.holds(j.tables)
 	}
 }
 
-// load is the engine's own estimated work, the job's with it, over what it gets done.
+// load is the engine's own estimated work, the job's with it, over what it gets done. The memory granted by
+// all gateways counts with it where it is read, a full engine as a second of work for each core; the usual
+// reading stands in for a missing one.
 func (b *Brain) load(e *engine, j *job, homes []*engine) float64 {
-	work := j.work
+	k, work, granted := b.set.Kinds[e.kind], j.work, b.usualRead
 	if slices.Contains(homes, e) {
 		work *= 0.6 // reading is about half of the work, and a warm set saves most of it
 	}
-	work = (e.work + work) * e.slow / (b.set.Kinds[e.kind].Cores * b.warmth(e))
+	if b.now < e.readAt+1 { // some of what was read then still runs
+		granted = e.granted + e.since/k.Memory
+	}
+	work = (e.work + work + granted*k.Cores) * e.slow / (k.Cores * b.warmth(e))
 	if e.zone != b.set.Zone {
 		work *= 1.5 // crossing has a price
 	}
@@ -448,23 +449,21 @@
 
 // ---- dispatches
 
-// admissible finds the oldest of the classes' first held jobs that fits somewhere. Those that wait for their
-// key do not hold up the ones behind them.
+// admissible finds the oldest first held job that fits somewhere and has waited for readings asked for.
 func (b *Brain) admissible() bool {
 	b.job = nil
 	for _, c := range b.classes {
-		at := slices.IndexFunc(c.queue, func(j *job) bool { return j.turn(b.now) })
-		if at < 0 || b.job != nil && c.queue[at].taken >= b.job.taken {
+		j := c.next(b.now)
+		if j == nil || b.job != nil && j.taken >= b.job.taken || j.read > 0 && b.now < j.read+0.015 {
 			continue
 		}
-		if e := b.place(c.queue[at]); e != nil {
-			b.job, b.engine = c.queue[at], e
+		if e := b.place(j); e != nil {
+			b.job, b.engine = j, e
 		}
 	}
 	return b.job != nil
 }
 
-// turn tells whether the order of the job's key lets it go.
 func (j *job) turn(now float64) bool {
 	l := j.line
 	return l == nil || len(j.dispatches) > 0 || l.jobs[0] == j && l.out == 0 && now >= l.restUntil
@@ -478,8 +477,6 @@
 			j.class.Effect == Keyed && b.now < d.sent+j.class.Window-0.1) // a margin for clocks and ticks
 }
 
-func (b *Brain) mayAgain(j *job) bool { return (j.out == 0 || b.set.MayCopy) && b.mayRepeat(j) }
-
 // withinBudget keeps further dispatches within their budget in any window: the extra are summed over a bucket
 // more than the window, the jobs taken over a bucket less.
 func (b *Brain) withinBudget() bool {
@@ -490,7 +487,7 @@
 // stuck finds a job waiting to go again that may not, or would end late.
 func (b *Brain) stuck() bool {
 	for _, j := range b.again {
-		if j.out == 0 && (!b.mayAgain(j) || b.now+j.class.run(j) > j.inTime()) {
+		if j.out == 0 && (!b.mayRepeat(j) || b.now+j.class.run(j) > j.inTime()) {
 			b.job = j
 			return true
 		}
@@ -500,7 +497,7 @@
 
 func (b *Brain) movable() bool {
 	for _, j := range b.again {
-		if b.mayAgain(j) && b.withinBudget() {
+		if (j.out == 0 || b.set.MayCopy) && b.mayRepeat(j) && b.withinBudget() {
 			if b.job, b.engine = j, b.place(j); b.engine != nil {
 				return true
 			}
@@ -512,27 +509,24 @@
 // dispatch sends the job to the engine and books its grant.
 func (b *Brain) dispatch() {
 	j, e, c := b.job, b.engine, b.job.class
-	named, counted := b.grant(j, e)
+	named, counted := b.grant(j, b.set.Kinds[e.kind])
 	if len(j.dispatches) > 0 {
 		b.extra.add(b.now, 1)
 	}
 	c.queue, b.again = remove(c.queue, j), remove(b.again, j)
+	j.draft = nil
+	e.since += counted
 	e.sentWork.add(b.now, j.work)
 	(&dispatch{job: j, engine: e, sent: b.now, run: c.run(j) * e.slow, grant: counted}).book()
-	if b.set.Grants && named > 0 || b.set.Priorities {
-		b.out.Terms(j.id, b.priority(j), named)
+	if priority := uint8(1); b.set.Grants && named > 0 || b.set.Priorities {
+		if j.work < 0.3 { // short jobs cost the long ones little
+			priority = 3
+		}
+		b.out.Terms(j.id, priority, named)
 	}
 	b.out.Dispatch(j.id, e.id, 0)
 }
 
-// priority puts short jobs before long ones: they cost the long ones little.
-func (b *Brain) priority(j *job) uint8 {
-	if j.work < 0.3 {
-		return 3
-	}
-	return 1
-}
-
 // Outcome tells how a dispatch ended. work and memory are what the job needed, 0 where not told.
 func (b *Brain) Outcome(now float64, id uint32, number int, status Status, took float64, over bool,
 	work, memory float64) {
@@ -545,6 +539,7 @@
 	d.ran = status != Full && status != NoConnection && status != Moot
 	b.judge(d, status, took, work, memory)
 	d.unbook()
+	b.freed = now
 	if j.line != nil && (status == TimedOut || status == Reset || status == CalledOff) {
 		j.line.restUntil = now + b.set.KeyRest
 	}
@@ -564,9 +559,12 @@
 // judge learns from an outcome, for the class and the engine.
 func (b *Brain) judge(d *dispatch, status Status, took, work, memory float64) {
 	e, c, now := d.engine, d.job.class, b.now
+	if status == Done || status == Full || status == Failed {
+		b.overdue.raise(now, e.overdue(now))
+		e.heard = now
+	}
 	switch status {
 	case Done:
-		e.hear(now)
 		e.ok.add(now, 1)
 		e.passed++
 		e.doubted = e.doubted && e.passed < 3 // one answer may be luck where a part fails
@@ -582,45 +580,27 @@
 		pace := took * c.Threads / max(work, 0.001)
 		c.slow += 0.05 * (min(pace, 20) - c.slow)
 		e.slow += 0.1 * (min(pace/c.slow, 10) - e.slow)
-		e.strain += 0.1 * (min(took/(c.SLA+c.Stretch*work/c.Threads), 3) - e.strain)
-		b.adapt(e)
 	case Full:
-		e.hear(now)
 		e.fullUntil = now + 0.2 // long enough for a few answers
-		e.scale = max(e.scale*0.9, 0.05)
 	case Failed:
-		e.hear(now)
 		e.bad.add(now, 1)
+		b.suspect = e
 	case NoConnection, Reset:
 		e.bad.add(now, 3) // the process is gone: nothing else would fail so
+		b.suspect = e
 	}
 }
 
 // ---- the health of engines
 
-// hear notes an answer and how unusual the silence before it was.
-func (e *engine) hear(now float64) {
-	e.gap += 0.1 * (min(e.overdue(now), 10) - e.gap)
-	e.heard = now
-}
-
-// overdue is how many answers the jobs held should have brought since the last one: each counts the time it
-// has been out in the silence over its expected run.
-func (e *engine) overdue(now float64) float64 {
-	sum := 0.0
-	for _, d := range e.live {
-		sum += (now - max(e.heard, d.sent)) / d.run
-	}
-	return sum
-}
-
-// silence is how unusual the engine's silence is, given the gaps seen before. Under a second it is none: a
-// pause may take as long, and moving jobs sooner costs more work than waiting.
-func (e *engine) silence(now float64) float64 {
-	if len(e.live) == 0 || now-max(e.heard, e.live[0].sent) < 1 {
+// silence is how unusual the engine's silence is, given the longest gap seen of late at any engine. Under a
+// second it is none: a pause may take as long, and moving jobs sooner costs more work than waiting.
+func (b *Brain) silence(e *engine) float64 {
+	if len(e.live) == 0 || b.now-max(e.heard, e.live[0].sent) < 1 {
 		return 0
 	}
-	return e.overdue(now) / max(e.gap, 0.5)
+	const floor = 4 // answers overdue that are nothing unusual, whatever was seen
+	return e.overdue(b.now) / max(b.overdue.most()*b.overdue.width, floor)
 }
 
 // stalled tells that this gateway itself stood still: a wake-up is far behind its time. The silence of
@@ -636,31 +616,34 @@
 
 // mayDoubt keeps half of the fleet in use whatever it looks like: when all are slow at once none is to blame.
 func (b *Brain) mayDoubt() bool {
-	doubted := 0
-	for _, e := range b.roster.fleet {
-		if e.doubted {
-			doubted++
-		}
-	}
-	return 2*(doubted+1) <= len(b.roster.fleet)
+	sound := slices.DeleteFunc(slices.Clone(b.roster.fleet), func(e *engine) bool { return e.doubted })
+	return 2*(len(sound)-1) >= len(b.roster.fleet)
 }
 
 // silent finds an engine whose silence is far out of the ordinary, its own and the others'. It answers hangs
 // and machines gone without a word; a long pause can look the same and costs the work called off.
 func (b *Brain) silent() bool {
-	const unusual = 32.0 // answers overdue over the usual: at 8 or 16, engines that were only slow were doubted
+	if b.now < b.looked+0.1 {
+		return false
+	}
 	var all []float64
 	for _, e := range b.roster.fleet {
-		all = append(all, e.silence(b.now))
+		if len(e.live) > 0 {
+			all = append(all, b.silence(e))
+		}
+	}
+	usual := 0.0
+	if slices.Sort(all); len(all) > 1 {
+		usual = all[(len(all)-1)/2]
 	}
-	slices.Sort(all)
 	for _, e := range b.roster.fleet {
-		fresh := !e.doubted && b.mayDoubt() || e.doubted && b.now >= e.restUntil
-		if s := e.silence(b.now); fresh && s > unusual && s > 3*all[(len(all)-1)/2] {
+		if s := b.silence(e); s > 2 && s > 3*usual &&
+			(!e.doubted && b.mayDoubt() || e.doubted && b.now >= e.restUntil) {
 			b.engine = e
 			return true
 		}
 	}
+	b.looked = b.now
 	return false
 }
 
@@ -681,18 +664,17 @@
 // failing finds an engine with a high share of failures: quick ones make it look idle, and it would draw
 // more.
 func (b *Brain) failing() bool {
-	for _, e := range b.roster.fleet {
-		bad := e.bad.sum(b.now, 4)
-		fails := bad >= 3 && bad > 0.25*(bad+e.ok.sum(b.now, 4)) // a stray error or two is none
-		if !e.doubted && fails && b.mayDoubt() || e.doubted && bad > 0 && b.now >= e.restUntil {
-			b.engine = e
-			return true
-		}
+	e := b.suspect
+	if b.suspect = nil; e == nil {
+		return false
 	}
-	return false
+	b.engine = e
+	bad := e.bad.sum(b.now, 4)
+	fails := bad > 0.25*(bad+e.ok.sum(b.now, 4)) // a stray error among many answers is none
+	return !e.doubted && fails && b.mayDoubt() || e.doubted && bad > 0 && b.now >= e.restUntil
 }
 
-// rest keeps jobs from the engine, twice as long at each relapse.
+// rest keeps jobs from it, twice as long at each relapse.
 func (b *Brain) rest() {
 	e := b.engine
 	if b.now > e.restUntil+10 {
@@ -715,8 +697,8 @@
 	b.out.CallOff(d.job.id, d.number)
 }
 
-// Progress tells how far a dispatch is: topic 1 its share done, 2 that it spills, 3 that it waits. One at a
-// fifth of its expected pace has a bad plan, or a bad engine; a fresh dispatch will end before it.
+// Progress tells how far a dispatch is: topic 1 its share done. One at a fifth of its expected pace has a bad
+// plan, or a bad engine; a fresh dispatch will end before it.
 func (b *Brain) Progress(now float64, id uint32, number, topic int, amount float64) {
 	b.now = now
 	if j := b.jobs[id]; j != nil && number < len(j.dispatches) && j.dispatches[number].out {
@@ -734,11 +716,31 @@
 
 func (b *Brain) asleep() bool {
 	const hair = 0.001 // a wake-up may come that much before the time asked for, which must not end them
-	return b.now > b.bell-hair && (len(b.giveUps) > 0 || b.set.AskRoster && !b.roster.watched)
+	return (b.now > b.bell-hair || b.bell > b.now+b.nap()+hair) &&
+		(len(b.giveUps) > 0 || b.set.AskRoster && !b.roster.watched)
+}
+
+// nap is 10 ms while jobs are held: often enough for the grace of the answers and for the queues. Otherwise
+// a tenth of a second does, for silences.
+func (b *Brain) nap() float64 {
+	held := slices.ContainsFunc(b.classes, func(c *class) bool { return len(c.queue) > 0 })
+	if j := b.giveUps.first(); j != nil && !held && len(b.again) == 0 {
+		return min(max(j.giveUp-b.now, 0.01), 0.1)
+	}
+	return 0.01
 }
 
-// wake asks to be woken in 10 ms: often enough for the grace of the answers and for the queues.
 func (b *Brain) wake() {
-	b.bell = b.now + 0.01
-	b.out.Wake(0.01)
+	b.bell = b.now + b.nap()
+	b.out.Wake(b.nap())
+}
+
+// Listed takes in one entry of the roster. A new start voids what was held against the engine's last one.
+func (b *Brain) Listed(now float64, id uint32, zone, kind, cell int, ready bool, up float64) {
+	e := b.roster.entry(id, cmp.Or(b.set.FallWindow, 1)/10)
+	if up > e.up {
+		e.up, e.heard, e.slow, e.turn = up, now, 1, e.turnOf(b.set.Index, b.set.Gateways)
+		e.doubted, e.restLength, e.fullUntil = false, 0, 0
+	}
+	e.zone, e.kind, e.cell, e.ready, e.listed = zone, kind, cell, ready, true
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -118,7 +118,7 @@
 func TestKeyedStaysInGroupAndWindow(t *testing.T) {
 	x := start(t, Settings{}, Class{Effect: Keyed, Group: GroupZone, Window: 2, SLA: 9},
 		Class{Effect: Keyed, Group: GroupAll, Window: 2, SLA: 9})
-	x.list(Whole, true, 0, 1, 101)
+	x.list(Whole, true, 0, 1, 2, 101)
 	x.arrive(1, 0, 0, 1, 100)
 	x.outcome(1, 0, Failed)
 	x.outcome(1, 1, Failed)
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -2,8 +2,6 @@
 // holds the decisions; this file is what passes in and out of them.
 package brain
 
-import "cmp"
-
 // Effect tells what a repeat of a job may do.
 type Effect int
 
@@ -51,7 +49,7 @@
 type Settings struct {
 	Index, Gateways, Zone                    int
 	AskRoster, MayCancel, MayCopy            bool
-	Grants, Priorities, Line                 bool
+	Grants, Priorities, Line, TellsMemory    bool
 	MostDispatches                           int
 	MostComeBack                             float64
 	Cold, ColdFrom, FallMultiple, FallWindow float64
@@ -103,16 +101,6 @@
 	b.roster.begin(mode)
 }
 
-// Listed takes in one entry of the roster.
-func (b *Brain) Listed(now float64, id uint32, zone, kind, cell int, ready bool, up float64) {
-	e := b.roster.entry(id, cmp.Or(b.set.FallWindow, 1)/10)
-	if up > e.up { // a new start: what was held against the old one is void
-		e.up, e.heard = up, now
-		e.doubted, e.restLength, e.fullUntil = false, 0, 0
-	}
-	e.zone, e.kind, e.cell, e.ready, e.listed = zone, kind, cell, ready, true
-}
-
 // RosterEnds closes a roster message.
 func (b *Brain) RosterEnds(now float64) {
 	b.roster.end()
@@ -137,11 +125,6 @@
 	b.settle()
 }
 
-// Reported takes a load report, -1 for what it does not tell.
-func (b *Brain) Reported(now float64, id uint32, jobs, waiting, util, memory, disks float64) {
-	b.now = now
-}
-
 // Told hands over a peer's message. Nothing is made of it: nothing may depend on peers.
 func (b *Brain) Told(now float64, from int, text []byte) {
 	b.now = now
--- a/brain/state.go
+++ b/brain/state.go
@@ -16,10 +16,12 @@
 	told, memory  float64 // estimates as told, 0 where none
 	work          float64 // estimated work, corrected
 	tables        uint32
-	over          bool // past its tenant's share
+	value         float64 // billed, less what passes its tenant's share
 	ended, begun  bool
 	dispatches    []*dispatch
 	out           int
+	draft         []*engine // compared for it
+	read          float64   // when they were probed
 }
 
 // first is the earliest dispatch that may have run.
@@ -85,13 +87,15 @@
 	up                    float64 // its latest start, as told
 	tally, work           float64 // own open grants and own open work
 	live                  []*dispatch
-	heard, gap            float64 // last answer; answers overdue at an answer, at the mean
-	strain                float64 // run time over SLA time
-	slow, scale           float64 // run time over the class's; part of the share in force
+	heard                 float64 // last answer
+	turn                  int     // this gateway's among those that share a cold budget
+	slow                  float64 // run time over the class's
 	fullUntil             float64
 	restUntil, restLength float64
 	doubted               bool
-	passed                int // trials passed since
+	passed                int     // trials passed since
+	granted, since        float64 // share of the memory granted, as read; own work sent since then
+	readAt, asked         float64
 	ok, bad, sentWork     ring
 }
 
@@ -105,11 +109,22 @@
 // rank orders the engines for a data set, the same at every gateway.
 func (e *engine) rank(tables uint32) uint64 { return mix(uint64(tables)<<32 | uint64(e.id)) }
 
+// turnOf is the gateway's place, from 0, in the hash's order of all gateways for this engine.
+func (e *engine) turnOf(index, gateways int) (turn int) {
+	for i := range gateways {
+		if i != index && e.rank(uint32(i)) < e.rank(uint32(index)) {
+			turn++
+		}
+	}
+	return turn
+}
+
 // roster is the list of engines as last told; fleet holds those that are ready, by id.
 type roster struct {
 	engines map[uint32]*engine
 	fleet   []*engine
 	watched bool
+	ranked  map[uint32][]*engine // for each data set asked for, until the roster changes
 }
 
 func (r *roster) begin(mode ListMode) {
@@ -124,7 +139,7 @@
 func (r *roster) entry(id uint32, bucket float64) *engine {
 	e := r.engines[id]
 	if e == nil {
-		e = &engine{id: id, slow: 1, scale: 1, gap: 1}
+		e = &engine{id: id, slow: 1}
 		e.ok, e.bad, e.sentWork = newRing(1, 5), newRing(1, 5), newRing(bucket, 11)
 		r.engines[id] = e
 	}
@@ -132,7 +147,7 @@
 }
 
 func (r *roster) end() {
-	r.fleet = r.fleet[:0]
+	r.fleet, r.ranked = r.fleet[:0], map[uint32][]*engine{}
 	for _, e := range r.engines {
 		if e.listed && e.ready {
 			r.fleet = append(r.fleet, e)
@@ -141,6 +156,16 @@
 	slices.SortFunc(r.fleet, func(x, y *engine) int { return cmp.Compare(x.id, y.id) })
 }
 
+// rank gives the fleet in the hash's order for the data set.
+func (r *roster) rank(tables uint32) []*engine {
+	if r.ranked[tables] == nil && len(r.fleet) > 0 {
+		ranked := slices.Clone(r.fleet)
+		slices.SortFunc(ranked, func(x, y *engine) int { return cmp.Compare(x.rank(tables), y.rank(tables)) })
+		r.ranked[tables] = ranked
+	}
+	return r.ranked[tables]
+}
+
 type class struct {
 	*Class
 	queue                       []*job
@@ -149,6 +174,7 @@
 	told, work, memory, answers float64 // decayed sums over the answers
 	slow, mean                  float64 // run time over bare work; mean work
 	done                        ring    // work done
+	tried                       float64 // when its first held job last fitted nowhere
 }
 
 type tenant struct {
@@ -162,6 +188,57 @@
 	restUntil float64
 }
 
+// inTime is the clock time up to which an answer earns the whole billed value.
+func (j *job) inTime() float64 {
+	return min(j.taken+j.class.SLA+j.class.Stretch*j.work/j.class.Threads, j.giveUp)
+}
+
+// run is the learned run time of a job of the class.
+func (c *class) run(j *job) float64 { return j.work / c.Threads * c.slow }
+
+// wait is how long the jobs before it with its key will take.
+func (j *job) wait(now float64) (sum float64) {
+	if j.line == nil {
+		return 0
+	}
+	for _, o := range j.line.jobs[:slices.Index(j.line.jobs, j)] {
+		sum += o.class.run(o)
+		if o.out > 0 {
+			sum -= min(now-o.dispatches[0].sent, o.class.run(o))
+		}
+	}
+	return sum
+}
+
+// overdue is how many answers the jobs held should have brought since the last one: each counts the time it
+// has been out in the silence over its expected run.
+func (e *engine) overdue(now float64) float64 {
+	sum := 0.0
+	for _, d := range e.live {
+		sum += (now - max(e.heard, d.sent)) / d.run
+	}
+	return sum
+}
+
+type keyLines map[uint64]*keyLine
+
+// join puts the job at the end of its key's line.
+func (l keyLines) join(key uint64, j *job) {
+	if l[key] == nil {
+		l[key] = &keyLine{}
+	}
+	j.line = l[key]
+	j.line.jobs = append(j.line.jobs, j)
+}
+
+// next is the first held job that does not wait for its key.
+func (c *class) next(now float64) *job {
+	if at := slices.IndexFunc(c.queue, func(j *job) bool { return j.turn(now) }); at >= 0 {
+		return c.queue[at]
+	}
+	return nil
+}
+
 // dice draws chance from a seed and a counter.
 type dice struct {
 	seed, counter uint64
@@ -215,6 +292,13 @@
 	r.buckets[r.last%int64(len(r.buckets))] += v
 }
 
+// raise keeps the largest value of each bucket.
+func (r *ring) raise(now, v float64) {
+	r.turn(now)
+	at := r.last % int64(len(r.buckets))
+	r.buckets[at] = max(r.buckets[at], v)
+}
+
 // sum adds the n latest buckets, the running one included.
 func (r *ring) sum(now float64, n int) float64 {
 	r.turn(now)
@@ -243,6 +327,17 @@
 	return j
 }
 
+// first is the open job with the earliest time, nil without one.
+func (h *byGiveUp) first() *job {
+	for len(*h) > 0 && ((*h)[0].ended || (*h)[0].begun) {
+		heap.Pop(h)
+	}
+	if len(*h) == 0 {
+		return nil
+	}
+	return (*h)[0]
+}
+
 var _ heap.Interface = (*byGiveUp)(nil)
 
 func remove[T comparable](list []T, x T) []T {
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -80,6 +80,7 @@
 		Grants:         v.yes("family-info.grants"),
 		Priorities:     v.yes("family-info.takes-priority"),
 		Line:           v["family-info.on-shortage"] == "wait",
+		TellsMemory:    v.yes("allowed.probing") && slices.Contains(v.list("report.fields"), "x0"),
 		MostDispatches: v.count("allowed.try-limit"),
 		Cold:           v.num("contract.cold"),
 		ColdFrom:       v.num("contract.cold-from"),
