Learn each type's memory margin from answers; give room for chance by pace

A grant is now the usual need plus 0.8 of its spread, learned by type. As grants shrink, the least grant (3 threads a core fill the memory) keeps cores from thrashing in every deployment, which takes out the exception that only a line by priority had it. Room above the even part follows the pace of long jobs, and is there only where engines are read.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,9 +29,9 @@
 	spent        []*dispatch // to be called off
 	taken, extra ring
 
-	suspect   *engine // failed a dispatch just now
-	usualRead float64 // share of memory granted, at the mean of what was read
-	overdue   ring    // the longest at any answer
+	suspect         *engine // of the latest outcome
+	usualRead, pace float64 // means: share of memory granted, as read; run time of long jobs over alone
+	overdue         ring    // the longest at any answer
 
 	askAt, swept, looked, freed, bell float64
 
@@ -71,16 +71,15 @@
 // New makes the module of one gateway.
 func New(seed uint64, set Settings, out Actions) *Brain {
 	b := &Brain{set: set, out: out, dice: dice{seed: seed}, roster: roster{engines: map[uint32]*engine{}},
-		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10)}
+		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10), pace: 1.5}
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time, at a pace near the best.
 		guess := c.SLA * c.Threads / 3
 		b.classes = append(b.classes, &class{Class: c, slow: 1.2, mean: guess, done: newRing(1, 10)})
 	}
-	const room = 1.5 // gateways see uneven parts of a tenant: at 1, jobs within the share gave way
-	for _, rate := range set.Tenants {
-		b.tenants = append(b.tenants, &tenant{rate: room * rate / float64(set.Gateways), tokens: rate})
+	for _, rate := range set.Tenants { // half more than an even part: gateways see uneven ones
+		b.tenants = append(b.tenants, &tenant{rate: 1.5 * rate / float64(set.Gateways), tokens: rate})
 	}
 	width := cmp.Or(set.ExtraWindow, 1) / 10 // a tenth of the window is what the budget is kept too strictly by
 	b.taken, b.extra = newRing(width, 11), newRing(width, 11)
@@ -89,9 +88,8 @@
 
 func (b *Brain) unwatched() bool { return b.set.AskRoster && !b.roster.watched && b.now >= b.askAt }
 
-// watch asks again after a second or two, so that not all gateways repeat a failed call at once.
 func (b *Brain) watch() {
-	b.askAt = b.now + 1 + b.dice.draw()
+	b.askAt = b.now + 1 + b.dice.draw() // so that not all gateways repeat a failed call at once
 	b.out.Watch()
 }
 
@@ -216,21 +214,16 @@
 
 // ---- grants and tallies
 
-// grant is the memory that a dispatch names, 0 for none, and what the tallies count for it. The page's
-// quarter over the estimate left many jobs short, and spilling jobs run longest; 0.6 over it (0.5 to 0.8 do
-// as well) costs room. The least grant lets the page's 8 threads a core fill the memory; where engines' own
-// lines put short jobs first it is 3, so that the line keeps cores from thrashing for all gateways (2 idles
-// engines).
+// grant is the memory that a dispatch names, 0 for none, and what the tallies count for it. The least grant
+// lets 3 threads a core fill the memory, so that the tallies keep cores from thrashing too (the page's 8 did
+// not, 2 idles engines).
 func (b *Brain) grant(j *job, k Kind) (named, counted float64) {
-	c, threads := j.class, 8.0
-	if b.lineByPriority() {
-		threads = 3
-	}
+	c := j.class
 	most := k.Memory * min(0.25, cmp.Or(b.set.LargestShare, 1))
-	least := min(k.Memory*c.Threads/(threads*k.Cores), most)
+	least := min(k.Memory*c.Threads/(3*k.Cores), most)
 	switch {
 	case j.memory > 0:
-		named = min(max(1.6*j.memory, least), most)
+		named = min(max(c.margin()*j.memory, least), most)
 	case c.answers > 0:
 		named = min(max(1.8*c.memory/c.answers, least), most)
 	default:
@@ -239,8 +232,15 @@
 	return named, named
 }
 
-// lineByPriority tells whether an engine's own line takes what passes its memory, and the short jobs first.
-func (b *Brain) lineByPriority() bool { return b.set.Line && b.set.Priorities }
+// margin is what a grant is over the estimate: the usual need over it, as answers told, and 0.8 of the spread
+// more, where eight needs in ten lie. More wastes room, less spills. Estimates lie too high or too low by
+// class; until answers tell, two fifths either way are believed, as by five answers.
+func (c *class) margin() float64 {
+	const prior, spread = 5, 0.4
+	n := prior + c.rated
+	mean := c.logs / n
+	return math.Exp(mean + 0.8*math.Sqrt((c.squares+prior*spread*spread)/n-mean*mean))
+}
 
 // share is the part of an engine's memory that this gateway may have granted at once. The page's twice the
 // memory never bound before engines thrashed; its floor of one maximum grant, kept by every one of five
@@ -249,21 +249,21 @@
 	return b.set.Kinds[e.kind].Memory * b.warmth(e) / float64(b.set.Gateways)
 }
 
-// fits tells whether both tallies have room. The engine's binds under pressure: while it is cold or slow, has
-// lately been full, or would be if the gateways together granted as this one does; a line by priority bears
+// fits tells whether both tallies have room. The engine's binds under pressure: while it is cold or slow, was
+// full of late, or would be if all gateways granted as this one; a line that lets short jobs first bears
 // that.
 func (b *Brain) fits(j *job, e *engine, pool float64) bool {
 	k := b.set.Kinds[e.kind]
 	_, counted := b.grant(j, k)
-	crowd := (e.tally+counted)*float64(b.set.Gateways) > k.Memory && !b.lineByPriority()
+	crowd := (e.tally+counted)*float64(b.set.Gateways) > k.Memory && !(b.set.Line && b.set.Priorities)
 	pressed := b.warmth(e) < 1 || e.slow > 2 || e.fullUntil > 0 && b.now < e.fullUntil+2 || crowd
 	return (!pressed || e.tally == 0 || e.tally+counted <= b.share(e)) && j.class.tally+counted <= pool
 }
 
 // pool is the memory that the class may have granted: the shares of all usable engines. What is booked on the
-// others, a hung one's grants above all, takes no room from it. Where the engines' lines go by priority, a
-// gateway with few jobs has room for chance above that, the less the fuller the engines are read: an even
-// part of many held jobs that the fleet had room for. Elsewhere such room jammed the fleet.
+// others, a hung one's grants above all, takes no room from it. Where engines are read before long jobs go
+// out, a gateway with few jobs has room for chance above that while such jobs run well: an even part of many
+// held jobs that the fleet had room for. Without readings such room jammed the fleet.
 func (b *Brain) pool(c *class) float64 {
 	sum, most := 0.0, 0.0
 	for _, e := range b.roster.fleet {
@@ -278,12 +278,11 @@
 			}
 		}
 	}
-	if !b.lineByPriority() {
-		return sum
+	if b.set.TellsMemory { // a grant more, and twice the spread of a count with that mean
+		ease := min(max((1.5-b.pace)/0.4, 0), 1) // none once long jobs take half as long again as alone
+		sum += ease * (most + 2*math.Sqrt(sum*most))
 	}
-	// A grant and twice the spread of a count with that mean, up to six tenths read; none when all is
-	// granted.
-	return sum + min(max(2.5*(1-b.usualRead), 0), 1)*(most+2*math.Sqrt(sum*most))
+	return sum
 }
 
 // ---- the choice of engine
@@ -330,7 +329,7 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(b.now-e.up, 0)/b.set.Cold
 }
 
-// place finds the engine for a job: of two random fitting ones and its homes, that with the least load.
+// place finds the engine: of two random fitting ones and the job's homes, that with the least load.
 func (b *Brain) place(j *job) *engine {
 	c := j.class
 	if c.tried > b.freed && b.now < c.tried+0.05 { // nothing has ended since it fitted nowhere
@@ -374,8 +373,8 @@
 	}
 }
 
-// unread finds a held job worth its probes: what this gateway has on an engine says little where many share
-// it. Jobs under 0.3 s would lose more by waiting than by a poor choice.
+// unread finds a held job worth its probes, since own work tells little of a shared engine: one over 0.3 s,
+// which loses less by waiting than by a poor choice.
 func (b *Brain) unread() bool {
 	for _, c := range b.classes {
 		b.job = c.next(b.now)
@@ -388,10 +387,10 @@
 
 // read probes the engines that the job may go to, but for those asked a moment ago.
 func (b *Brain) read() {
-	b.job.read = b.now
+	b.job.read = b.now - 1
 	for _, e := range b.job.draft {
-		if b.now > e.asked+0.3 { // reports are no fresher
-			e.asked = b.now
+		if b.now > e.asked+0.8 { // near the age at which a reading is let go
+			e.asked, b.job.read = b.now, b.now
 			b.out.Probe(e.id)
 		}
 	}
@@ -407,18 +406,15 @@
 }
 
 // homes are the engines that keep the job's data set warm: the first two of the own zone in an order by hash,
-// the same at every gateway. Loads hold their set, so they avoid an engine where this gateway has one of that
-// set; where reads stand still behind them, loads take the order's far half and such reads the near one. It
-// guards against loads that meet; few sets in use could crowd their homes.
+// the same at every gateway. Loads hold their set, so they avoid this gateway's others of that set; where
+// reads stand still behind them, loads take the order's far half and such reads the near one.
 func (b *Brain) homes(j *job) (homes []*engine, apart func(*engine) bool) {
 	ranked := b.roster.rank(j.tables)
 	near := func(e *engine) bool { return 2*slices.Index(ranked, e) < len(ranked) }
 	waits := slices.ContainsFunc(b.classes, func(c *class) bool { return c.Waits })
-	if !j.class.Load {
-		for _, e := range ranked {
-			if len(homes) < 2 && e.zone == b.set.Zone {
-				homes = append(homes, e)
-			}
+	for _, e := range ranked {
+		if !j.class.Load && len(homes) < 2 && e.zone == b.set.Zone {
+			homes = append(homes, e)
 		}
 	}
 	return homes, func(e *engine) bool {
@@ -559,6 +555,7 @@
 // judge learns from an outcome, for the class and the engine.
 func (b *Brain) judge(d *dispatch, status Status, took, work, memory float64) {
 	e, c, now := d.engine, d.job.class, b.now
+	b.suspect = e
 	if status == Done || status == Full || status == Failed {
 		b.overdue.raise(now, e.overdue(now))
 		e.heard = now
@@ -573,21 +570,25 @@
 			c.answers, c.memory = c.answers*keep+1, c.memory*keep+memory
 			c.work, c.told = c.work*keep+work, c.told*keep+d.job.told
 			c.mean = c.work / c.answers
-		} else {
-			work = d.job.work
+			if d.job.memory > 0 && memory > 0 {
+				log := math.Log(memory / d.job.memory)
+				c.rated, c.logs, c.squares = c.rated*keep+1, c.logs*keep+log, c.squares*keep+log*log
+			}
 		}
+		work = cmp.Or(work, d.job.work)
 		c.done.add(now, work)
 		pace := took * c.Threads / max(work, 0.001)
+		if d.job.work > 0.3 {
+			b.pace += 0.1 * (min(pace, 5) - b.pace)
+		}
 		c.slow += 0.05 * (min(pace, 20) - c.slow)
 		e.slow += 0.1 * (min(pace/c.slow, 10) - e.slow)
 	case Full:
 		e.fullUntil = now + 0.2 // long enough for a few answers
 	case Failed:
 		e.bad.add(now, 1)
-		b.suspect = e
 	case NoConnection, Reset:
 		e.bad.add(now, 3) // the process is gone: nothing else would fail so
-		b.suspect = e
 	}
 }
 
@@ -599,8 +600,7 @@
 	if len(e.live) == 0 || b.now-max(e.heard, e.live[0].sent) < 1 {
 		return 0
 	}
-	const floor = 4 // answers overdue that are nothing unusual, whatever was seen
-	return e.overdue(b.now) / max(b.overdue.most()*b.overdue.width, floor)
+	return e.overdue(b.now) / max(b.overdue.most()*b.overdue.width, 4) // 4 answers overdue are nothing unusual
 }
 
 // stalled tells that this gateway itself stood still: a wake-up is far behind its time. The silence of
@@ -620,8 +620,8 @@
 	return 2*(len(sound)-1) >= len(b.roster.fleet)
 }
 
-// silent finds an engine whose silence is far out of the ordinary, its own and the others'. It answers hangs
-// and machines gone without a word; a long pause can look the same and costs the work called off.
+// silent finds an engine whose silence is far out of the ordinary, and of the others'. It answers hangs and
+// machines gone without a word; a long pause looks the same and costs the work called off.
 func (b *Brain) silent() bool {
 	if b.now < b.looked+0.1 {
 		return false
--- a/brain/state.go
+++ b/brain/state.go
@@ -172,6 +172,7 @@
 	tally                       float64
 	out                         int
 	told, work, memory, answers float64 // decayed sums over the answers
+	rated, logs, squares        float64 // the same of memory needed over told, as logarithms
 	slow, mean                  float64 // run time over bare work; mean work
 	done                        ring    // work done
 	tried                       float64 // when its first held job last fitted nowhere
@@ -346,17 +347,3 @@
 	}
 	return list
 }
-
-// prefer gives the good ones of the list, or all where none is.
-func prefer(list []*engine, good func(*engine) bool) []*engine {
-	found := []*engine{}
-	for _, e := range list {
-		if good(e) {
-			found = append(found, e)
-		}
-	}
-	if len(found) == 0 {
-		return slices.Clone(list)
-	}
-	return found
-}
