Keep a fifth of the pool back; take time-outs for failures, against the usual share

Guards: the kept fifth also against wrong estimates of memory; it costs room on quiet fleets (not measurable). Time-outs as failures also answer half-dead engines that answer some jobs; a type with too short a time could doubt engines, hence three runs at least and the comparison with all engines' usual share: all failing alike blame none. A job of a type with nothing out goes after half a second whatever the pool, so few engines never starve one.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,10 +28,11 @@
 	again        []*job      // dispatched before, waiting for a further dispatch
 	spent        []*dispatch // to be called off
 	taken, extra ring
+	record       record // of all engines' answers
 
-	suspect         *engine // of the latest outcome
-	usualRead, pace float64 // means: share of memory granted, as read; run time of long jobs over alone
-	overdue         ring    // the longest at any answer
+	suspect   *engine // of the latest outcome
+	usualRead float64 // share of memory granted, at the mean of what was read
+	overdue   ring    // the longest at any answer
 
 	askAt, swept, looked, freed, bell float64
 
@@ -71,18 +72,18 @@
 // New makes the module of one gateway.
 func New(seed uint64, set Settings, out Actions) *Brain {
 	b := &Brain{set: set, out: out, dice: dice{seed: seed}, roster: roster{engines: map[uint32]*engine{}},
-		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10), pace: 1.5}
+		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10)}
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time, at a pace near the best.
-		guess := c.SLA * c.Threads / 3
+		guess := max(c.SLA*c.Threads/3, 0.01)
 		b.classes = append(b.classes, &class{Class: c, slow: 1.2, mean: guess, done: newRing(1, 10)})
 	}
 	for _, rate := range set.Tenants { // half more than an even part: gateways see uneven ones
 		b.tenants = append(b.tenants, &tenant{rate: 1.5 * rate / float64(set.Gateways), tokens: rate})
 	}
 	width := cmp.Or(set.ExtraWindow, 1) / 10 // a tenth of the window is what the budget is kept too strictly by
-	b.taken, b.extra = newRing(width, 11), newRing(width, 11)
+	b.taken, b.extra, b.record = newRing(width, 11), newRing(width, 11), newRecord()
 	return b
 }
 
@@ -93,8 +94,6 @@
 	b.out.Watch()
 }
 
-// ---- jobs
-
 // Arrive takes a job. cost and memory are estimates, 0 where there are none.
 func (b *Brain) Arrive(now float64, id uint32, class, tenant int, key uint64, giveUp, cost, memory float64,
 	tables uint32, retry bool) {
@@ -200,11 +199,9 @@
 	return false
 }
 
-const queueLength = 200 // as the post has it
-
 func (b *Brain) overflowing() bool {
 	for _, c := range b.classes {
-		if len(c.queue) > queueLength {
+		if len(c.queue) > 200 { // as the post has it
 			b.job = c.queue[len(c.queue)-1]
 			return true
 		}
@@ -242,9 +239,9 @@
 	return math.Exp(mean + 0.8*math.Sqrt((c.squares+prior*spread*spread)/n-mean*mean))
 }
 
-// share is the part of an engine's memory that this gateway may have granted at once. The page's twice the
-// memory never bound before engines thrashed; its floor of one maximum grant, kept by every one of five
-// gateways, was more than an engine has. An engine without open grants of ours takes any one job instead.
+// share is the part of an engine's memory that this gateway may have granted at once, but for one job of any
+// size. The page's twice that never bound before engines thrashed; its floor of a maximum grant overfilled
+// them.
 func (b *Brain) share(e *engine) float64 {
 	return b.set.Kinds[e.kind].Memory * b.warmth(e) / float64(b.set.Gateways)
 }
@@ -257,7 +254,8 @@
 	_, counted := b.grant(j, k)
 	crowd := (e.tally+counted)*float64(b.set.Gateways) > k.Memory && !(b.set.Line && b.set.Priorities)
 	pressed := b.warmth(e) < 1 || e.slow > 2 || e.fullUntil > 0 && b.now < e.fullUntil+2 || crowd
-	return (!pressed || e.tally == 0 || e.tally+counted <= b.share(e)) && j.class.tally+counted <= pool
+	return (!pressed || e.tally == 0 || e.tally+counted <= b.share(e)) &&
+		(j.class.tally+counted <= pool || j.class.tally == 0 && b.now > j.taken+0.5) // none waits for good
 }
 
 // pool is the memory that the class may have granted: the shares of all usable engines. What is booked on the
@@ -268,7 +266,7 @@
 	sum, most := 0.0, 0.0
 	for _, e := range b.roster.fleet {
 		if b.usable(e) {
-			sum += b.share(e)
+			sum += 0.8 * b.share(e) // engines fill unevenly: at 0.9 and 1, busy fleets jammed
 			most = max(most, b.set.Kinds[e.kind].Memory/4)
 			continue
 		}
@@ -279,7 +277,7 @@
 		}
 	}
 	if b.set.TellsMemory { // a grant more, and twice the spread of a count with that mean
-		ease := min(max((1.5-b.pace)/0.4, 0), 1) // none once long jobs take half as long again as alone
+		ease := min(max((1.5-c.slow)/0.4, 0), 1) // none once they take half as long again as alone
 		sum += ease * (most + 2*math.Sqrt(sum*most))
 	}
 	return sum
@@ -289,8 +287,7 @@
 
 func (b *Brain) usable(e *engine) bool { return !e.doubted && b.now >= e.fullUntil }
 
-// onTrial tells whether a doubted engine, once rested, may have this job to show that it works: one at a
-// time, of the lightest class, restartable.
+// onTrial tells whether a doubted engine, rested, may show with this light restartable job that it works.
 func (b *Brain) onTrial(e *engine, j *job) bool {
 	light := slices.MinFunc(b.classes, func(x, y *class) int { return cmp.Compare(x.mean, y.mean) })
 	return e.doubted && b.now >= max(e.restUntil, e.fullUntil) && len(e.live) == 0 &&
@@ -351,7 +348,8 @@
 	misfit := func(e *engine) bool {
 		return !b.usable(e) && !b.onTrial(e, j) || !b.allowed(j, e) || !b.fits(j, e, pool)
 	}
-	if j.draft = slices.DeleteFunc(j.draft, misfit); len(j.draft) > 0 || j.class.tally >= pool {
+	j.draft = slices.DeleteFunc(j.draft, misfit)
+	if len(j.draft) > 0 || len(b.roster.fleet) == 0 || j.class.tally > pool {
 		return
 	}
 	const draws = 6 // then the fleet is gone through in turn, at last without keeping apart
@@ -373,8 +371,7 @@
 	}
 }
 
-// unread finds a held job worth its probes, since own work tells little of a shared engine: one over 0.3 s,
-// which loses less by waiting than by a poor choice.
+// unread finds a held job that loses less by waiting for readings than by a poor choice: one over 0.3 s.
 func (b *Brain) unread() bool {
 	for _, c := range b.classes {
 		b.job = c.next(b.now)
@@ -473,8 +470,7 @@
 			j.class.Effect == Keyed && b.now < d.sent+j.class.Window-0.1) // a margin for clocks and ticks
 }
 
-// withinBudget keeps further dispatches within their budget in any window: the extra are summed over a bucket
-// more than the window, the jobs taken over a bucket less.
+// withinBudget counts the extra over a bucket more than the window, the jobs taken over a bucket less.
 func (b *Brain) withinBudget() bool {
 	return b.set.ExtraWindow == 0 ||
 		b.extra.sum(b.now, 11)+1 <= b.set.ExtraFree+b.set.ExtraShare*b.taken.sum(b.now, 9)
@@ -556,13 +552,14 @@
 func (b *Brain) judge(d *dispatch, status Status, took, work, memory float64) {
 	e, c, now := d.engine, d.job.class, b.now
 	b.suspect = e
+	ok, bad := 0.0, 0.0
 	if status == Done || status == Full || status == Failed {
 		b.overdue.raise(now, e.overdue(now))
 		e.heard = now
 	}
 	switch status {
 	case Done:
-		e.ok.add(now, 1)
+		ok = 1
 		e.passed++
 		e.doubted = e.doubted && e.passed < 3 // one answer may be luck where a part fails
 		if work > 0 {
@@ -578,17 +575,19 @@
 		work = cmp.Or(work, d.job.work)
 		c.done.add(now, work)
 		pace := took * c.Threads / max(work, 0.001)
-		if d.job.work > 0.3 {
-			b.pace += 0.1 * (min(pace, 5) - b.pace)
-		}
-		c.slow += 0.05 * (min(pace, 20) - c.slow)
+		c.slow += 0.05 * (min(pace, 5) - c.slow)
 		e.slow += 0.1 * (min(pace/c.slow, 10) - e.slow)
 	case Full:
 		e.fullUntil = now + 0.2 // long enough for a few answers
 	case Failed:
-		e.bad.add(now, 1)
+		bad = 1
+	case TimedOut: // but not when little time was left
+		bad = min(math.Floor(took/(3*d.run)), 1)
 	case NoConnection, Reset:
-		e.bad.add(now, 3) // the process is gone: nothing else would fail so
+		bad = 3 // the process is gone: nothing else would fail so
+	}
+	if e.record.add(now, ok, bad); bad < 3 {
+		b.record.add(now, ok, bad)
 	}
 }
 
@@ -603,8 +602,7 @@
 	return e.overdue(b.now) / max(b.overdue.most()*b.overdue.width, 4) // 4 answers overdue are nothing unusual
 }
 
-// stalled tells that this gateway itself stood still: a wake-up is far behind its time. The silence of
-// engines meanwhile is its own.
+// stalled tells, by a wake-up far behind its time, that the gateway itself stood still: no engine was silent.
 func (b *Brain) stalled() bool { return b.bell > 0 && b.now > b.bell+0.1 }
 
 func (b *Brain) forgive() {
@@ -661,16 +659,16 @@
 	}
 }
 
-// failing finds an engine with a high share of failures: quick ones make it look idle, and it would draw
-// more.
+// failing finds an engine with a high share of failures, its own and over the usual: quick ones make it look
+// idle, and it would draw more; slow ones are time-outs. Few answers do; all failing alike blame none.
 func (b *Brain) failing() bool {
 	e := b.suspect
 	if b.suspect = nil; e == nil {
 		return false
 	}
 	b.engine = e
-	bad := e.bad.sum(b.now, 4)
-	fails := bad > 0.25*(bad+e.ok.sum(b.now, 4)) // a stray error among many answers is none
+	bad := e.record.bad(b.now, 4)
+	fails := bad > max(0.25, 3*b.record.bad(b.now, 4)) // a stray error among many answers is none
 	return !e.doubted && fails && b.mayDoubt() || e.doubted && bad > 0 && b.now >= e.restUntil
 }
 
@@ -683,7 +681,7 @@
 	e.restLength = min(max(2*e.restLength, 1), 8)
 	e.restUntil = b.now + e.restLength
 	e.doubted, e.passed = true, 0
-	clear(e.bad.buckets)
+	e.record = newRecord()
 }
 
 func (b *Brain) hasSpent() bool {
@@ -720,8 +718,8 @@
 		(len(b.giveUps) > 0 || b.set.AskRoster && !b.roster.watched)
 }
 
-// nap is 10 ms while jobs are held: often enough for the grace of the answers and for the queues. Otherwise
-// a tenth of a second does, for silences.
+// nap is 10 ms while jobs are held, for the queues; else a tenth of a second, for silences, or up to a give-
+// up.
 func (b *Brain) nap() float64 {
 	held := slices.ContainsFunc(b.classes, func(c *class) bool { return len(c.queue) > 0 })
 	if j := b.giveUps.first(); j != nil && !held && len(b.again) == 0 {
@@ -742,5 +740,5 @@
 		e.up, e.heard, e.slow, e.turn = up, now, 1, e.turnOf(b.set.Index, b.set.Gateways)
 		e.doubted, e.restLength, e.fullUntil = false, 0, 0
 	}
-	e.zone, e.kind, e.cell, e.ready, e.listed = zone, kind, cell, ready, true
+	e.zone, e.kind, e.cell, e.ready, e.listed = zone, min(kind, len(b.set.Kinds)-1), cell, ready, true
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"encoding/binary"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -96,7 +97,8 @@
 	passed                int     // trials passed since
 	granted, since        float64 // share of the memory granted, as read; own work sent since then
 	readAt, asked         float64
-	ok, bad, sentWork     ring
+	sentWork              ring
+	record                record
 }
 
 // holds tells whether a load of this gateway holds the data set there.
@@ -139,8 +141,8 @@
 func (r *roster) entry(id uint32, bucket float64) *engine {
 	e := r.engines[id]
 	if e == nil {
-		e = &engine{id: id, slow: 1}
-		e.ok, e.bad, e.sentWork = newRing(1, 5), newRing(1, 5), newRing(bucket, 11)
+		e = &engine{id: id, slow: 1, readAt: math.Inf(-1), asked: math.Inf(-1)}
+		e.record, e.sentWork = newRecord(), newRing(bucket, 11)
 		r.engines[id] = e
 	}
 	return e
@@ -313,6 +315,24 @@
 // most is the fullest bucket, as a rate.
 func (r *ring) most() float64 { return slices.Max(r.buckets) / r.width }
 
+// record counts good and bad answers by the second.
+type record struct {
+	ok, failed ring
+}
+
+func newRecord() record { return record{newRing(1, 5), newRing(1, 5)} }
+
+func (r *record) add(now, ok, bad float64) {
+	r.ok.add(now, ok)
+	r.failed.add(now, bad)
+}
+
+// bad is the share of the bad ones over the latest seconds.
+func (r *record) bad(now float64, seconds int) float64 {
+	bad := r.failed.sum(now, seconds)
+	return bad / max(bad+r.ok.sum(now, seconds), 1)
+}
+
 // byGiveUp orders jobs by the time their clients give up.
 type byGiveUp []*job
 
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -98,10 +98,13 @@
 	}
 	for i := range v.list("host-types") {
 		s.Kinds = append(s.Kinds, brain.Kind{
-			Cores:  v.numAt("family-info.kind-cores", i),
+			Cores:  max(v.numAt("family-info.kind-cores", i), 1),
 			Memory: v.numAt("family-info.ram-of-kind-mb", i),
 		})
 	}
+	if s.Kinds == nil { // engines are listed by kind all the same
+		s.Kinds = []brain.Kind{{Cores: 1}}
+	}
 	for i := range v.count("classes.count") {
 		p := "classes." + strconv.Itoa(i) + "."
 		c := brain.Class{
