--- a/brain/brain.go
+++ b/brain/brain.go
@@ -246,22 +246,24 @@
 	return b.set.Kinds[e.kind].Memory * b.warmth(e) / float64(b.set.Gateways)
 }
 
+// patient tells whether engines have a line of their own that lets short jobs first and so bears long ones.
+func (b *Brain) patient() bool { return b.set.Line && b.set.Priorities }
+
 // fits tells whether both tallies have room. The engine's binds under pressure: while it is cold or slow, was
-// full of late, or would be if all gateways granted as this one; a line that lets short jobs first bears
-// that.
+// full of late, or would be if all gateways granted as this one, which a patient one bears.
 func (b *Brain) fits(j *job, e *engine, pool float64) bool {
 	k := b.set.Kinds[e.kind]
 	_, counted := b.grant(j, k)
-	crowd := (e.tally+counted)*float64(b.set.Gateways) > k.Memory && !(b.set.Line && b.set.Priorities)
+	crowd := (e.tally+counted)*float64(b.set.Gateways) > k.Memory && !b.patient()
 	pressed := b.warmth(e) < 1 || e.slow > 2 || e.fullUntil > 0 && b.now < e.fullUntil+2 || crowd
 	return (!pressed || e.tally == 0 || e.tally+counted <= b.share(e)) &&
 		(j.class.tally+counted <= pool || j.class.tally == 0 && b.now > j.taken+0.5) // none waits for good
 }
 
 // pool is the memory that the class may have granted: the shares of all usable engines. What is booked on the
-// others, a hung one's grants above all, takes no room from it. Where engines are read before long jobs go
-// out, a gateway with few jobs has room for chance above that while such jobs run well: an even part of many
-// held jobs that the fleet had room for. Without readings such room jammed the fleet.
+// others, a hung one's grants above all, takes no room from it. With many gateways an even part is less than
+// chance asks for: patient engines bear two maximum grants; where engines are read, there is room while such
+// jobs run well. Elsewhere more than the part jammed the fleet.
 func (b *Brain) pool(c *class) float64 {
 	sum, most := 0.0, 0.0
 	for _, e := range b.roster.fleet {
@@ -276,8 +278,10 @@
 			}
 		}
 	}
-	if b.set.TellsMemory { // a grant more, and twice the spread of a count with that mean
-		ease := min(max((1.5-c.slow)/0.4, 0), 1) // none once they take half as long again as alone
+	switch ease := min(max((1.5-c.slow)/0.4, 0), 1); { // none once they take half as long again as alone
+	case b.patient():
+		sum = max(sum, 2*most)
+	case b.set.TellsMemory: // a grant more, and twice the spread of a count with that mean
 		sum += ease * (most + 2*math.Sqrt(sum*most))
 	}
 	return sum
@@ -440,8 +444,6 @@
 	return work
 }
 
-// ---- dispatches
-
 // admissible finds the oldest first held job that fits somewhere and has waited for readings asked for.
 func (b *Brain) admissible() bool {
 	b.job = nil
@@ -624,18 +626,15 @@
 	if b.now < b.looked+0.1 {
 		return false
 	}
-	var all []float64
+	all := []float64{0}
 	for _, e := range b.roster.fleet {
 		if len(e.live) > 0 {
 			all = append(all, b.silence(e))
 		}
 	}
-	usual := 0.0
-	if slices.Sort(all); len(all) > 1 {
-		usual = all[(len(all)-1)/2]
-	}
+	slices.Sort(all)
 	for _, e := range b.roster.fleet {
-		if s := b.silence(e); s > 2 && s > 3*usual &&
+		if s := b.silence(e); s > 2 && s > 3*all[(len(all)-1)/2] &&
 			(!e.doubted && b.mayDoubt() || e.doubted && b.now >= e.restUntil) {
 			b.engine = e
 			return true
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -441,3 +441,14 @@
 	x.pass(6)
 	x.check()
 }
+
+// Found at full size: an even part was one maximum grant, and long jobs were held while engines had room.
+func TestPatientEnginesBearMore(t *testing.T) {
+	x := start(t, Settings{Gateways: 260, Line: true, Priorities: true}, Class{SLA: 30})
+	x.list(Whole, true, 0, 1, 2, 3)
+	for id := range uint32(3) {
+		x.arrive(id, 0, 0, 1, 5000)
+	}
+	x.tallies()
+	x.check()
+}
