--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -6,12 +6,16 @@
 	x := start(t, Settings{}, Class{})
 	x.list(Whole, true, 0, 1, 2)
 	x.arrive(1, 0, 0, 1, 0)    // nothing told or learned: no grant named
-	x.arrive(2, 0, 0, 1, 1000) // a quarter over
+	x.arrive(2, 0, 0, 1, 1000) // a margin over
 	x.arrive(3, 0, 0, 1, 10)   // the least
 	x.arrive(4, 0, 0, 1, 5000) // the most
 	x.tallies()
 	x.outcome(1, 0, Done)
-	x.arrive(5, 0, 0, 1, 0) // half over what answers told
+	x.arrive(5, 0, 0, 1, 0) // four fifths over what answers told
+	for id := range uint32(4) {
+		x.arrive(id+6, 0, 0, 1, 500) // told half of the need: the margin grows
+		x.outcome(id+6, 0, Done)
+	}
 	x.check()
 }
 
@@ -419,17 +423,6 @@
 	x.check()
 }
 
-// Estimates half of the need starved jobs for good.
-func TestMarginIsLearned(t *testing.T) {
-	x := start(t, Settings{}, Class{})
-	x.list(Whole, true, 0, 1)
-	for id := range uint32(8) {
-		x.arrive(id, 0, 0, 1, 500)
-		x.outcome(id, 0, Done)
-	}
-	x.check()
-}
-
 func TestOddSettings(t *testing.T) {
 	x := start(t, Settings{Gateways: 2, Index: 7, TellsMemory: true, MayCancel: true}, Class{})
 	x.arrive(1, 0, 0, 1, 100) // no roster yet
