--- a/brain/brain.go
+++ b/brain/brain.go
@@ -257,7 +257,7 @@
 	crowd := (e.tally+counted)*float64(b.set.Gateways) > k.Memory && !b.patient()
 	pressed := b.warmth(e) < 1 || e.slow > 2 || e.fullUntil > 0 && b.now < e.fullUntil+2 || crowd
 	return (!pressed || e.tally == 0 || e.tally+counted <= b.share(e)) &&
-		(j.class.tally+counted <= pool || j.class.tally == 0 && b.now > j.taken+0.5) // none waits for good
+		(j.class.tally+counted <= pool || j.class.tally == 0 && b.now > j.taken+2) // none waits for good
 }
 
 // pool is the memory that the class may have granted: the shares of all usable engines. What is booked on the
