Let a tenant's tokens hold two jobs at least

Cause, found by reading: two seconds of a small part of a tenant's rate can be under one token, and then no job of the tenant ever counts as within its share.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -120,7 +120,7 @@
 
 // take counts a job against the tenant's share; bursts are not cut, for two seconds of it may come at once.
 func (t *tenant) take(now float64) bool {
-	t.tokens = min(t.tokens+(now-t.at)*t.rate, 2*t.rate)
+	t.tokens = min(t.tokens+(now-t.at)*t.rate, max(2*t.rate, 2))
 	t.at = now
 	if t.tokens < 1 {
 		return false
