--- /dev/null
+++ b/cmd/copperrock/main.go
@@ -0,0 +1,86 @@
+// Command copperrock is one gateway: it takes clients' jobs and has the decision module place them on engines.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"copperrock.example/copperrock/internal/buffer"
+	"copperrock.example/copperrock/internal/client"
+	"copperrock.example/copperrock/internal/config"
+	"copperrock.example/copperrock/internal/gateway"
+	"copperrock.example/copperrock/internal/limits"
+	"copperrock.example/copperrock/internal/roster"
+)
+
+func main() {
+	c, err := config.Read(os.Getenv("LB_CONFIG"))
+	if err == nil {
+		err = run(c)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "copperrock:", err)
+		os.Exit(1)
+	}
+}
+
+func run(c config.Config) error {
+	lim := limits.For(c.MemoryMB, c.Sockets)
+	debug.SetMemoryLimit(lim.Memory)
+	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Str("name", c.Name).Logger()
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	term, done := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer done()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+
+	pool := buffer.NewPool(lim.Buffer, lim.Buffers)
+	g := gateway.New(ctx, group, c.Seed, &c.Settings, lim, pool, log)
+	channel := &roster.Roster{Address: c.Channel, Gate: g, Limits: lim, Log: log}
+	if err := channel.Known(c.Cursor, c.Events); err != nil {
+		log.Warn().Err(err).Msg("known roster not taken")
+	}
+	g.SetReady(true)
+	server := &client.Server{Gate: g, Limits: lim, Pool: pool, Log: log}
+	group.Go(func() error { return g.Run(ctx) })
+	group.Go(func() error { return channel.Run(ctx) })
+	group.Go(func() error { return server.Run(ctx, l) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-term.Done():
+		}
+		log.Info().Int("jobs", g.Open()).Msg("leaving")
+		g.SetReady(false)
+		leave := time.Now().Add(limits.Duration(lim.Leave))
+		time.Sleep(limits.Duration(lim.Stay))
+		l.Close()
+		server.Leave()
+		for g.Open() > 0 && time.Now().Before(leave) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		cancel()
+		return nil
+	})
+	log.Info().Str("listen", c.Listen).Int("memory_mb", c.MemoryMB).Int("sockets", c.Sockets).Msg("serving")
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	log.Info().Msg("left")
+	return nil
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,466 @@
+// Package client serves the clients' connections: MessagePack-RPC in, one answer out for each job taken.
+package client
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"copperrock.example/copperrock/internal/buffer"
+	"copperrock.example/copperrock/internal/limits"
+)
+
+// Gate is where jobs go. Serve lasts as long as the job does; it gives at most one answer. The statement is
+// the caller's.
+type Gate interface {
+	Ready() bool
+	Serve(ctx context.Context, to Answer, class, ref string, allow, work, memory float64, statement *buffer.Chain)
+}
+
+// Answer takes a job's final answer.
+type Answer interface {
+	Done(rows *buffer.Chain)
+	Throttled(comeBack float64)
+	Failed(why string)
+}
+
+// Server accepts connections as far as the limits let it.
+type Server struct {
+	Gate   Gate
+	Limits limits.Limits
+	Pool   *buffer.Pool
+	Log    zerolog.Logger
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// Run serves until the listener is closed, then until the last connection has ended. At the end of ctx
+// connections are cut off.
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	s.conns = map[*conn]struct{}{}
+	var group errgroup.Group
+	slots := make(chan struct{}, s.Limits.ClientConns)
+	for {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), group.Wait())
+		default: // an idle connection goes first; else accepting waits
+			s.closeIdlest()
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return errors.Join(ctx.Err(), group.Wait())
+			}
+		}
+		peer, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return group.Wait()
+		}
+		if err != nil {
+			s.Log.Warn().Err(err).Msg("accepting failed")
+			<-slots
+			time.Sleep(limits.Duration(s.Limits.ChannelRetry))
+			continue
+		}
+		group.Go(func() error {
+			defer func() { <-slots }()
+			s.serve(ctx, peer)
+			return nil
+		})
+	}
+}
+
+// Leave takes no more jobs; connections close once what is open on them is answered.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		c.leaving = true
+		c.peer.SetReadDeadline(time.Now())
+		c.mu.Unlock()
+	}
+}
+
+func (s *Server) closeIdlest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var idlest *conn
+	for c := range s.conns {
+		if c.idle() && (idlest == nil || c.since.Before(idlest.since)) {
+			idlest = c
+		}
+	}
+	if idlest != nil {
+		idlest.peer.Close()
+	}
+}
+
+// conn is one client's connection.
+type conn struct {
+	*Server
+	peer  net.Conn
+	write chan answer
+
+	mu      sync.Mutex
+	open    map[uint32]*reply // jobs
+	reading bool              // a message has begun
+	leaving bool              // takes no more jobs
+	since   time.Time         // the latest message or answer
+}
+
+// answer is what waits to be written: a head, then rows, then a tail.
+type answer struct {
+	head, tail []byte
+	rows       *buffer.Chain
+}
+
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) == 0 && !c.reading
+}
+
+// serve reads a connection to its end. Its jobs end with it, and its writer after them.
+func (s *Server) serve(ctx context.Context, peer net.Conn) {
+	c := &conn{Server: s, peer: peer, open: map[uint32]*reply{}, since: time.Now(),
+		write: make(chan answer, 2*s.Limits.JobsPerConn)}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { peer.Close() })
+	var jobs, writer errgroup.Group
+	writer.Go(func() error { defer cancel(); return c.writes() })
+	err := c.reads(ctx, &jobs)
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, errLeaving) {
+		s.Log.Info().Err(err).Str("client", peer.RemoteAddr().String()).Msg("client connection cut off")
+	}
+	if !errors.Is(err, errLeaving) {
+		cancel() // what is open is withdrawn
+	}
+	jobs.Wait()
+	close(c.write)
+	writer.Wait()
+	stop()
+	peer.Close()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+func (c *conn) reads(ctx context.Context, jobs *errgroup.Group) (err error) {
+	in := bufio.NewReaderSize(c.peer, c.Limits.Buffer)
+	for {
+		if !c.until(c.Limits.ClientIdle, false) {
+			return errLeaving
+		}
+		if _, err = in.Peek(1); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && !c.idle() {
+				continue
+			}
+			return err
+		}
+		if !c.until(c.Limits.ClientRead, true) {
+			return errLeaving
+		}
+		if err = c.message(ctx, &reader{in: in, left: c.Limits.Message, depth: c.Limits.Depth}, jobs); err != nil {
+			return err
+		}
+	}
+}
+
+// errLeaving tells that the server leaves: jobs that are open go on.
+var errLeaving = errors.New("the server leaves")
+
+// until gives a read so many seconds, unless the server leaves.
+func (c *conn) until(seconds float64, reading bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.since, c.reading = time.Now(), reading
+	c.peer.SetReadDeadline(c.since.Add(limits.Duration(seconds)))
+	return !c.leaving
+}
+
+// message takes one message. An error means that the stream can't be followed any more.
+func (c *conn) message(ctx context.Context, r *reader, jobs *errgroup.Group) error {
+	parts, err := r.want(kindList)
+	if err != nil {
+		return fmt.Errorf("no message: %w", err)
+	}
+	kind, err := r.want(kindInt)
+	switch {
+	case err != nil:
+		return fmt.Errorf("no kind of message: %w", err)
+	case kind == 2 && parts == 3:
+		return c.notice(r)
+	case kind != 0 || parts != 4:
+		return fmt.Errorf("a message of kind %d with %d parts", kind, parts)
+	}
+	id, err := r.want(kindInt)
+	if err != nil || id < 0 || id > math.MaxUint32 {
+		return errors.Join(err, fmt.Errorf("message id %d", id))
+	}
+	method, err := r.text(c.Limits.Name)
+	if err != nil && !errors.Is(err, errShape) {
+		return err
+	}
+	if err == nil && method == "ping" {
+		c.put(answer{head: c.pong(uint32(id))})
+		return r.skip()
+	}
+	args, shape := r.want(kindList)
+	if shape != nil && !errors.Is(shape, errShape) {
+		return shape
+	}
+	var f fields
+	var statement *buffer.Chain
+	if shape == nil {
+		if f, statement, shape = c.args(r, args); shape != nil && !errors.Is(shape, errShape) {
+			statement.Free()
+			return shape
+		}
+	}
+	to := &reply{conn: c, id: uint32(id)}
+	c.mu.Lock()
+	_, twice := c.open[to.id]
+	crowd := len(c.open) >= c.Limits.JobsPerConn
+	c.mu.Unlock()
+	switch {
+	case twice:
+		statement.Free()
+		return fmt.Errorf("message id %d is open already", id)
+	case err != nil || shape != nil || f.bad != "":
+		statement.Free()
+		to.Failed("the job can't be understood " + f.bad)
+		return nil
+	case crowd || f.full:
+		statement.Free()
+		to.Throttled(0)
+		return nil
+	}
+	ctx, to.leave = context.WithCancel(ctx)
+	c.mu.Lock()
+	c.open[to.id] = to
+	c.mu.Unlock()
+	jobs.Go(func() error {
+		defer statement.Free()
+		defer to.close()
+		c.Gate.Serve(ctx, to, method, f.ref, f.allow, f.work, f.memory, statement)
+		return nil
+	})
+	return nil
+}
+
+// fields are the decoded fields of one job on their way into the call of Serve.
+type fields struct {
+	ref, bad            string
+	full                bool // no buffer was left for it
+	allow, work, memory float64
+}
+
+// args reads a job's fields and statement; what it does not know is passed over.
+func (c *conn) args(r *reader, n int64) (f fields, statement *buffer.Chain, err error) {
+	if n < 2 {
+		f.bad = "(arguments)"
+		for range n {
+			if err = r.skip(); err != nil {
+				return
+			}
+		}
+		return
+	}
+	pairs, err := r.want(kindMap)
+	if err != nil && !errors.Is(err, errShape) {
+		return
+	}
+	if err != nil {
+		f.bad, pairs = "(fields)", 0
+	}
+	for range pairs {
+		name, bad := r.text(c.Limits.Name)
+		if bad != nil && !errors.Is(bad, errShape) {
+			return f, nil, bad
+		}
+		value, odd := r.text(c.Limits.Name)
+		if odd != nil && !errors.Is(odd, errShape) {
+			return f, nil, odd
+		}
+		number := func() float64 {
+			v, wrong := strconv.ParseFloat(value, 64)
+			if wrong != nil || odd != nil || !(v >= 0) || v > 1e12 {
+				f.bad = "(" + name + ")"
+				return 0
+			}
+			return v
+		}
+		switch name {
+		case "ref":
+			if f.ref = value; odd != nil || !hex16(value) {
+				f.bad = "(ref)"
+			}
+		case "allow":
+			f.allow = number() / 1000
+		case "effort":
+			f.work = number() / 1000
+		case "need_mb":
+			f.memory = number()
+		}
+	}
+	if f.bad == "" && (f.ref == "" || f.allow == 0) {
+		f.bad = "(ref or allow is missing)"
+	}
+	size, err := r.want(kindText)
+	if errors.Is(err, errShape) {
+		f.bad, err = "(statement)", nil
+	} else if err == nil {
+		statement = c.Pool.NewChain()
+		if err = statement.Fill(r, int(min(size, math.MaxInt32))); errors.Is(err, buffer.ErrSpent) {
+			f.full = true
+			err = r.rest(kindText, size-int64(statement.Size()))
+		}
+	}
+	for range n - 2 {
+		if err == nil {
+			err = r.skip()
+		}
+	}
+	return
+}
+
+func hex16(s string) bool {
+	_, err := strconv.ParseUint(s, 16, 64)
+	return err == nil && len(s) == 16
+}
+
+// notice takes what wants no answer: a client that stops waiting.
+func (c *conn) notice(r *reader) error {
+	name, err := r.text(c.Limits.Name)
+	if err != nil && !errors.Is(err, errShape) {
+		return err
+	}
+	n, shape := r.want(kindList)
+	if shape != nil {
+		if errors.Is(shape, errShape) {
+			return nil
+		}
+		return shape
+	}
+	for range n {
+		id, err := r.want(kindInt)
+		if err != nil && !errors.Is(err, errShape) {
+			return err
+		}
+		if err == nil && name == "abort" && id >= 0 && id <= math.MaxUint32 {
+			c.mu.Lock()
+			if to := c.open[uint32(id)]; to != nil {
+				to.leave()
+			}
+			c.mu.Unlock()
+		}
+	}
+	return nil
+}
+
+func (c *conn) pong(id uint32) []byte {
+	b := putInt([]byte{0x94, 1}, int64(id))
+	ready := byte(0xc2)
+	if c.Gate.Ready() {
+		ready = 0xc3
+	}
+	return append(b, 0xc0, 0x92, ready, 0x80)
+}
+
+// put hands an answer to the writer. A queue that is full belongs to a client that does not read.
+func (c *conn) put(a answer) {
+	select {
+	case c.write <- a:
+	default:
+		a.rows.Free()
+		c.peer.Close()
+	}
+}
+
+func (c *conn) writes() error {
+	for a := range c.write {
+		c.peer.SetWriteDeadline(time.Now().Add(limits.Duration(c.Limits.ClientWrite)))
+		parts := append(net.Buffers{a.head}, a.rows.Parts()...)
+		parts = append(parts, a.tail)
+		_, err := parts.WriteTo(c.peer)
+		a.rows.Free()
+		if err != nil {
+			c.peer.Close()
+			for a := range c.write {
+				a.rows.Free()
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// reply is the way back of one job.
+type reply struct {
+	*conn
+	id    uint32
+	leave context.CancelFunc
+}
+
+func (a *reply) head() []byte { return putInt([]byte{0x94, 1}, int64(a.id)) }
+
+// Done gives the rows, which are the reply's from here.
+func (a *reply) Done(rows *buffer.Chain) {
+	head := append(a.head(), 0xc0, 0x92, 0xc6)
+	head = binary.BigEndian.AppendUint32(head, uint32(rows.Size()))
+	a.final(answer{head: head, rows: rows, tail: []byte{0x80}})
+}
+
+func (a *reply) Throttled(comeBack float64) {
+	b := append(a.head(), 0x92)
+	b = putText(b, "Rejected")
+	if comeBack > 0 {
+		b = putText(append(b, 0x81), "cooldown")
+		b = putText(b, strconv.Itoa(int(math.Ceil(comeBack*1000))))
+	} else {
+		b = append(b, 0x80)
+	}
+	a.final(answer{head: append(b, 0xc0)})
+}
+
+func (a *reply) Failed(why string) {
+	b := putText(append(a.head(), 0x92), "Failed")
+	b = putText(putText(append(b, 0x81), "why"), why)
+	a.final(answer{head: append(b, 0xc0)})
+}
+
+func (a *reply) final(w answer) {
+	a.mu.Lock()
+	delete(a.open, a.id)
+	a.since = time.Now()
+	a.mu.Unlock()
+	a.put(w)
+}
+
+// close ends the job on the connection; one whose client has left was not answered.
+func (a *reply) close() {
+	a.leave()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.open[a.id] == a { // not another job by now
+		delete(a.open, a.id)
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,72 @@
+// Package config reads what the controller is told at its start.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"os"
+	"strconv"
+
+	"copperrock.example/copperrock/internal/settings"
+)
+
+// Config is the whole of it, read and checked once.
+type Config struct {
+	Name, Listen, Channel string
+	Seed                  uint64
+	MemoryMB, Sockets     int
+	Cursor                int64
+	Events                []json.RawMessage
+	Settings              settings.Settings
+}
+
+// Read reads the file.
+func Read(file string) (Config, error) {
+	if file == "" {
+		return Config{}, errors.New("LB_CONFIG names no file")
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Config{}, err
+	}
+	var in struct {
+		Name, Listen, Seed, Channel string
+		Limits                      struct {
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  float64
+		}
+		Known struct {
+			Cursor int64
+			Cmds   []json.RawMessage
+		}
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return Config{}, fmt.Errorf("%s: %w", file, err)
+	}
+	c := Config{Name: in.Name, Listen: in.Listen, Channel: in.Channel, MemoryMB: int(in.Limits.MemoryMB),
+		Sockets: int(in.Limits.Sockets), Cursor: in.Known.Cursor, Events: in.Known.Cmds}
+	if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil { // any text will do for chance
+		h := fnv.New64a()
+		h.Write([]byte(in.Seed))
+		c.Seed = h.Sum64()
+	}
+	if c.Settings, err = settings.JSON(in.Settings); err != nil {
+		return c, fmt.Errorf("%s: %w", file, err)
+	}
+	for _, address := range []string{c.Listen, c.Channel} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return c, fmt.Errorf("%s: %w", file, err)
+		}
+	}
+	if c.MemoryMB < 16 || c.Sockets < 32 {
+		return c, fmt.Errorf("%s: limits of %d MB and %d descriptors are too low to run", file, c.MemoryMB, c.Sockets)
+	}
+	if len(c.Settings.Classes) == 0 {
+		return c, fmt.Errorf("%s: the settings hold no reservation type", file)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,182 @@
+// Package engine speaks RESP with one engine process: its connections, the dispatches on them, the pages of
+// their results, and probes.
+package engine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"copperrock.example/copperrock/brain"
+	"copperrock.example/copperrock/internal/buffer"
+	"copperrock.example/copperrock/internal/limits"
+	"copperrock.example/copperrock/internal/settings"
+)
+
+// Engine is one process of an engine: another start is another Engine, also at the same address.
+type Engine struct {
+	Address  string
+	Settings *settings.Settings
+	Limits   limits.Limits
+	Pool     *buffer.Pool
+	Log      zerolog.Logger
+	Group    *errgroup.Group // owns the goroutines
+	Slots    chan struct{}   // one for each connection to any engine
+
+	stopped atomic.Bool
+	mu      sync.Mutex
+	conns   []*conn
+}
+
+// Call is one dispatch on its way to an engine and there.
+type Call struct {
+	Work, Memory float64 // as the answer told, 0 where it did not
+
+	conn       *conn
+	ref, class string
+	statement  *buffer.Chain
+	until      time.Time
+	grant      float64
+	priority   int
+
+	// Guarded by the connection.
+	state   state
+	status  brain.Status
+	step    chan struct{} // the dispatch has ended, then the pages are there
+	pages   []*buffer.Chain
+	missing int
+	size    int
+}
+
+type state int
+
+const (
+	waiting state = iota // for its first byte to go
+	sent
+	paged // page 0 is there
+	ended
+)
+
+// Ask dispatches a job. The statement is held until it is written.
+func (e *Engine) Ask(ctx context.Context, ref, class string, statement *buffer.Chain, until time.Time, grant float64,
+	priority int) *Call {
+	k := &Call{ref: ref, class: class, statement: statement, until: until, grant: grant, priority: priority,
+		step: make(chan struct{}, 2), status: brain.NoConnection}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c := e.pick(ctx, ref); c != nil {
+		c.ask(k)
+	} else {
+		k.state = ended
+		k.step <- struct{}{}
+	}
+	return k
+}
+
+// pick finds a connection with room for a dispatch of the job, or opens one; nil where none may be had.
+func (e *Engine) pick(ctx context.Context, ref string) *conn {
+	if e.stopped.Load() {
+		return nil
+	}
+	for _, c := range e.conns {
+		if c.bears(ref) {
+			return c
+		}
+	}
+	select {
+	case e.Slots <- struct{}{}:
+	default:
+		for _, c := range e.conns {
+			c.closeIfIdle()
+		}
+		return nil
+	}
+	c := newConn(e)
+	e.conns = append(e.conns, c)
+	e.Group.Go(func() error {
+		defer func() { <-e.Slots }()
+		c.run(ctx)
+		e.mu.Lock()
+		e.conns = slices.DeleteFunc(e.conns, func(o *conn) bool { return o == c })
+		e.mu.Unlock()
+		return nil
+	})
+	return c
+}
+
+// Probe asks for a load report; told gets it once, or false.
+func (e *Engine) Probe(ctx context.Context, told func(load settings.Load, ok bool)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c := e.pick(ctx, ""); c != nil {
+		c.probe(told)
+	} else {
+		e.Group.Go(func() error { told(settings.Untold, false); return nil })
+	}
+}
+
+// Stop lets nothing new go out; what is out may end. What has not gone yet has never run.
+func (e *Engine) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped.Store(true)
+	for _, c := range e.conns {
+		c.stop()
+	}
+}
+
+// CloseIdle closes connections with nothing open on them.
+func (e *Engine) CloseIdle() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.conns {
+		c.closeIfIdle()
+	}
+}
+
+// Wait waits for the next step of the dispatch: its end or, where the result has further pages, page 0 and then
+// the end. At the end of ctx it is given up; ran then tells whether its first byte may have gone.
+func (k *Call) Wait(ctx context.Context) (status brain.Status, whole, ran bool) {
+	select {
+	case <-k.step:
+	case <-ctx.Done():
+		if gaveUp, ran := k.conn.giveUp(k); gaveUp {
+			return brain.CalledOff, true, ran
+		}
+		<-k.step // it had ended already
+	}
+	k.conn.lock()
+	defer k.conn.unlock()
+	return k.status, k.state == ended, true
+}
+
+// Next asks for all further pages.
+func (k *Call) Next() { k.conn.next(k) }
+
+// Prefer changes the priority of a dispatch that is out.
+func (k *Call) Prefer(priority int) { k.conn.prefer(k, priority) }
+
+// Rows hands over the result of a dispatch that is done.
+func (k *Call) Rows() *buffer.Chain {
+	rows := k.pages[0]
+	for _, p := range k.pages[1:] {
+		rows.Join(p)
+	}
+	k.pages = nil
+	return rows
+}
+
+// Free lets the pages go that were not handed over.
+func (k *Call) Free() {
+	k.conn.lock()
+	defer k.conn.unlock()
+	for _, p := range k.pages {
+		p.Free()
+	}
+	k.pages = nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,430 @@
+// Package gateway owns the decision module, its clock and its wake-ups. It holds the life of each job, and
+// carries out what the module decides.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"copperrock.example/copperrock/brain"
+	"copperrock.example/copperrock/internal/buffer"
+	"copperrock.example/copperrock/internal/client"
+	"copperrock.example/copperrock/internal/engine"
+	"copperrock.example/copperrock/internal/limits"
+	"copperrock.example/copperrock/internal/settings"
+	"copperrock.example/copperrock/internal/statement"
+)
+
+// Gateway is one controller.
+type Gateway struct {
+	settings *settings.Settings
+	limits   limits.Limits
+	pool     *buffer.Pool
+	log      zerolog.Logger
+	group    *errgroup.Group
+	ctx      context.Context // of what the gateway starts itself
+	slots    chan struct{}
+	start    time.Time
+	base     float64 // the Unix clock at the start
+	bell     *time.Timer
+	later    chan func(now float64) // told to the module after the call that asked for it
+
+	mu      sync.Mutex // one goroutine at a time is in the module
+	brain   *brain.Brain
+	jobs    map[uint32]*job
+	lastJob uint32
+	engines map[string]*listed
+	byID    map[uint32]*listed
+	named   map[string]bool // by the roster message under way
+	whole   bool
+	ready   bool
+}
+
+// listed is an engine of the roster, with the process that it is now.
+type listed struct {
+	id      uint32
+	address string
+	born    float64
+	process *engine.Engine
+}
+
+// job is what the module's decisions on a job are carried out with.
+type job struct {
+	id       uint32
+	steps    chan step // decided, in order
+	priority int       // these four with the module's lock
+	grant    float64
+	sent     int // dispatches decided
+	out      int // without an outcome
+	over     bool
+}
+
+// step is one decision on a job.
+type step struct {
+	do       decision
+	number   int // of the dispatch
+	process  *engine.Engine
+	grant    float64
+	priority int
+	comeBack float64
+}
+
+type decision int
+
+const (
+	dispatch decision = iota
+	callOff
+	prefer
+	throttle
+	cancelForGood
+)
+
+// New makes a gateway. What it starts belongs to the group and ends with ctx.
+func New(ctx context.Context, group *errgroup.Group, seed uint64, set *settings.Settings, lim limits.Limits,
+	pool *buffer.Pool, log zerolog.Logger) *Gateway {
+	g := &Gateway{settings: set, limits: lim, pool: pool, log: log, group: group, ctx: ctx,
+		slots: make(chan struct{}, lim.EngineConns), start: time.Now(), bell: time.NewTimer(time.Hour),
+		later: make(chan func(float64), lim.Queue), jobs: map[uint32]*job{}, engines: map[string]*listed{},
+		byID: map[uint32]*listed{}}
+	g.base = float64(g.start.UnixMicro()) / 1e6
+	g.brain = brain.New(seed, set.Brain, g)
+	return g
+}
+
+// now is the Unix clock in seconds; it never goes back.
+func (g *Gateway) now() float64 { return g.base + time.Since(g.start).Seconds() }
+
+// at is the time of a clock value.
+func (g *Gateway) at(now float64) time.Time { return g.start.Add(limits.Duration(now - g.base)) }
+
+// enter calls the module.
+func (g *Gateway) enter(call func(now float64)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	defer func() {
+		if p := recover(); p != nil {
+			g.log.Error().Str("panic", fmt.Sprint(p)).Bytes("stack", debug.Stack()).Msg("module failed")
+		}
+	}()
+	call(g.now())
+}
+
+// Run keeps the module's wake-ups until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-g.bell.C:
+			g.enter(func(now float64) { g.brain.Woken(now) })
+		case tell := <-g.later:
+			g.enter(tell)
+		}
+	}
+}
+
+// Ready tells whether jobs can be taken.
+func (g *Gateway) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ready
+}
+
+// SetReady tells that the gateway begins or ceases to take jobs.
+func (g *Gateway) SetReady(ready bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ready = ready
+}
+
+// Open is the number of jobs that are not over.
+func (g *Gateway) Open() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.jobs)
+}
+
+// Serve is the life of a job.
+func (g *Gateway) Serve(left context.Context, to client.Answer, class, ref string, allow, work, memory float64,
+	text *buffer.Chain) {
+	// Taken.
+	number := slices.Index(g.settings.Classes, class)
+	if number < 0 {
+		to.Failed("unknown reservation type")
+		return
+	}
+	most := g.settings.Brain.MostDispatches
+	j := &job{priority: 1, steps: make(chan step, 4*most+4)}
+	tables := statement.Tables(text.Bytes())
+	giveUp := g.now() + allow - g.limits.Margin
+	taken := false
+	g.enter(func(now float64) {
+		if taken = len(g.jobs) < g.limits.Jobs; taken {
+			g.lastJob++
+			j.id = g.lastJob
+			g.jobs[j.id] = j
+			g.brain.Arrive(now, j.id, number, 0, 0, giveUp, work, memory, tables, false)
+		}
+	})
+	if !taken {
+		to.Throttled(0)
+		return
+	}
+	over := false
+	end := func(answer func()) { // the one final answer
+		if !over {
+			over = true
+			answer()
+		}
+	}
+	until := g.at(giveUp)
+	late := time.NewTimer(time.Until(until) + limits.Duration(2*g.limits.Margin))
+	defer late.Stop()
+	calls := make([]context.CancelFunc, 0, most)
+	outcomes := make(chan func(), most)
+	for gone := left.Done(); !g.closed(j, over); {
+		select {
+		// Decided.
+		case s := <-j.steps:
+			switch s.do {
+			case throttle:
+				end(func() { to.Throttled(s.comeBack) })
+			case cancelForGood:
+				end(func() { to.Failed("cancelled for good") })
+			case callOff:
+				calls[s.number]()
+			case prefer:
+			case dispatch:
+				ctx, cancel := context.WithDeadline(g.ctx, until)
+				defer cancel()
+				calls = append(calls, cancel)
+				if over { // meanwhile
+					cancel()
+				}
+				g.group.Go(func() error {
+					// Dispatched.
+					began := g.now()
+					call := s.process.Ask(ctx, ref, class, text, until, s.grant, s.priority)
+					status, whole, ran := call.Wait(ctx)
+					if status == brain.Done && !whole { // Paged.
+						call.Next()
+						status, _, ran = call.Wait(ctx)
+					}
+					switch {
+					case status == brain.CalledOff && !ran:
+						status = brain.Moot
+					case status == brain.CalledOff && !time.Now().Before(until):
+						status = brain.TimedOut
+					}
+					outcomes <- func() {
+						// Answered.
+						if status == brain.Done && !over {
+							end(func() { to.Done(call.Rows()) })
+						}
+						call.Free()
+						g.enter(func(now float64) {
+							j.out--
+							g.brain.Outcome(now, j.id, s.number, status, now-began, over, call.Work, call.Memory)
+						})
+					}
+					return nil
+				})
+			}
+		case outcome := <-outcomes:
+			outcome()
+		case <-gone:
+			gone = nil
+			end(func() { g.enter(func(now float64) { g.brain.Withdrawn(now, j.id) }) })
+		case <-late.C: // the module has said nothing in time
+			end(func() {
+				to.Failed("no decision in time")
+				g.enter(func(now float64) { g.brain.Withdrawn(now, j.id) })
+			})
+		}
+	}
+}
+
+// closed tells whether nothing is left to do for the job, and forgets it then.
+func (g *Gateway) closed(j *job, over bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !over || j.out > 0 {
+		return false
+	}
+	delete(g.jobs, j.id)
+	return true
+}
+
+// ---- the roster
+
+// RosterBegins opens a message of the command channel; RosterEnds closes it, both around its Listed.
+func (g *Gateway) RosterBegins(whole bool) {
+	g.whole, g.named = whole, map[string]bool{}
+	mode := brain.Changes
+	if whole {
+		mode = brain.Whole
+	}
+	g.enter(func(now float64) { g.brain.RosterBegins(now, mode) })
+}
+
+// Listed takes in one engine.
+func (g *Gateway) Listed(name, address, zone, kind string, cell int, state string, born float64) {
+	g.enter(func(now float64) {
+		g.named[name] = true
+		e := g.engines[name]
+		if e == nil {
+			e = &listed{id: g.idOf(name)}
+			g.engines[name], g.byID[e.id] = e, e
+		}
+		ready := state == "in_service"
+		if e.process != nil && (!ready || e.address != address || e.born != born) {
+			e.process.Stop()
+			e.process = nil
+		}
+		if ready && e.process == nil {
+			e.address, e.born = address, born
+			e.process = &engine.Engine{Address: address, Settings: g.settings, Limits: g.limits, Pool: g.pool,
+				Log: g.log, Group: g.group, Slots: g.slots}
+		}
+		g.brain.Listed(now, e.id, index(g.settings.Zones, zone), index(g.settings.Kinds, kind), cell, ready, born)
+	})
+}
+
+// RosterEnds lets the module act on the message. Engines that a whole list leaves out are gone.
+func (g *Gateway) RosterEnds() {
+	g.enter(func(now float64) {
+		for name, e := range g.engines {
+			if g.whole && !g.named[name] && e.process != nil {
+				e.process.Stop()
+				e.process = nil
+			}
+		}
+		g.brain.RosterEnds(now)
+	})
+}
+
+// idOf numbers an engine by its name alone, so that all gateways number it alike.
+func (g *Gateway) idOf(name string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := h.Sum32()
+	for g.byID[id] != nil {
+		id++
+	}
+	return id
+}
+
+// index finds a name in a list; names may also be told as numbers.
+func index(names []string, name string) int {
+	if i := slices.Index(names, settings.Name(name)); i >= 0 {
+		return i
+	}
+	if i, err := strconv.Atoi(name); err == nil && i >= 0 && i < len(names) {
+		return i
+	}
+	return 0
+}
+
+// ---- what the module decides, with its lock held
+
+func (g *Gateway) step(id uint32, s step) {
+	if j := g.jobs[id]; j != nil {
+		select {
+		case j.steps <- s:
+		default:
+			g.log.Error().Uint32("job", id).Msg("too many decisions on a job")
+		}
+	}
+}
+
+// Dispatch sends the job. An engine that is gone by now has no connection.
+func (g *Gateway) Dispatch(id, to uint32, timeout float64) {
+	j, e := g.jobs[id], g.byID[to]
+	if j == nil || e == nil {
+		return
+	}
+	process := e.process
+	if process == nil {
+		process = &engine.Engine{}
+		process.Stop()
+	}
+	g.step(id, step{do: dispatch, number: j.sent, process: process, grant: j.grant, priority: j.priority})
+	j.sent++
+	j.out++
+}
+
+func (g *Gateway) Terms(id uint32, priority uint8, grant float64) {
+	if j := g.jobs[id]; j != nil {
+		j.priority, j.grant = int(priority), grant
+		if j.out > 0 {
+			g.step(id, step{do: prefer, priority: int(priority)})
+		}
+	}
+}
+
+func (g *Gateway) Throttle(id uint32, comeBack float64) {
+	g.step(id, step{do: throttle, comeBack: comeBack})
+}
+
+func (g *Gateway) CancelForGood(id uint32) { g.step(id, step{do: cancelForGood}) }
+
+func (g *Gateway) CallOff(id uint32, number int) { g.step(id, step{do: callOff, number: number}) }
+
+func (g *Gateway) Probe(id uint32) {
+	e := g.byID[id]
+	if e == nil || e.process == nil {
+		g.tell(func(now float64) { g.brain.Probed(now, id, brain.NoConnection) })
+		return
+	}
+	e.process.Probe(g.ctx, func(load settings.Load, ok bool) {
+		g.enter(func(now float64) {
+			status := brain.TimedOut
+			if ok {
+				status = brain.Done
+				g.brain.Reported(now, id, load[0], load[1], load[2], load[3], load[4])
+			}
+			g.brain.Probed(now, id, status)
+		})
+	})
+}
+
+func (g *Gateway) Close(id uint32) {
+	if e := g.byID[id]; e != nil && e.process != nil {
+		e.process.CloseIdle()
+	}
+}
+
+// Watch and Fetch ask for what the channel tells unasked.
+func (g *Gateway) Watch() {
+	g.tell(func(now float64) {
+		g.brain.RosterBegins(now, brain.Changes)
+		g.brain.RosterEnds(now)
+	})
+}
+
+func (g *Gateway) Fetch() { g.Watch() }
+
+// Tell has no way to go: gateways do not talk to each other here.
+func (g *Gateway) Tell(uint16, []byte) {}
+
+func (g *Gateway) Remark(text string) { g.log.Debug().Msg(text) }
+
+func (g *Gateway) Wake(after float64) { g.bell.Reset(limits.Duration(after)) }
+
+// tell keeps what the module is to hear once it has been left.
+func (g *Gateway) tell(event func(now float64)) {
+	select {
+	case g.later <- event:
+	default:
+		g.log.Error().Msg("too many events kept for the module")
+	}
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,147 @@
+// Package roster follows the command channel, which tells the list of engines.
+package roster
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"copperrock.example/copperrock/internal/limits"
+)
+
+// Gate is told the list: what is Listed between Begins and Ends belongs together. A whole list names all.
+type Gate interface {
+	RosterBegins(whole bool)
+	Listed(engine, address, zone, kind string, cell int, state string, born float64)
+	RosterEnds()
+}
+
+// Roster is one controller's end of the channel.
+type Roster struct {
+	Address string
+	Gate    Gate
+	Limits  limits.Limits
+	Log     zerolog.Logger
+
+	last int64 // the number of the last event taken
+}
+
+// Known takes the events that the configuration holds.
+func (r *Roster) Known(cursor int64, events []json.RawMessage) error {
+	for _, e := range events {
+		if _, err := r.event(e); err != nil {
+			return err
+		}
+	}
+	r.last = max(r.last, cursor)
+	return nil
+}
+
+// Run keeps to the channel until ctx ends, and connects anew whenever it closes or falls silent.
+func (r *Roster) Run(ctx context.Context) error {
+	for down := false; ctx.Err() == nil; {
+		began := time.Now()
+		err := r.follow(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if lasted := time.Since(began) > limits.Duration(r.Limits.ChannelQuiet); lasted || !down {
+			r.Log.Warn().Err(err).Int64("event", r.last).Msg("command channel lost")
+		}
+		down = true
+		select {
+		case <-ctx.Done():
+		case <-time.After(limits.Duration(r.Limits.ChannelRetry)):
+		}
+	}
+	return ctx.Err()
+}
+
+// errGap tells that events were missed; they come with the next connection.
+var errGap = errors.New("events are missing")
+
+func (r *Roster) follow(ctx context.Context) error {
+	dialer := net.Dialer{Timeout: limits.Duration(r.Limits.ChannelWait)}
+	peer, err := dialer.DialContext(ctx, "tcp", r.Address)
+	if err != nil {
+		return err
+	}
+	defer peer.Close()
+	defer context.AfterFunc(ctx, func() { peer.Close() })()
+	quiet := func() time.Time { return time.Now().Add(limits.Duration(r.Limits.ChannelQuiet)) }
+	peer.SetDeadline(quiet())
+	if _, err = fmt.Fprintf(peer, "resume %d\n", r.last); err != nil {
+		return err
+	}
+	lines := bufio.NewScanner(peer)
+	lines.Buffer(make([]byte, 0, 4<<10), r.Limits.Line)
+	for lines.Scan() {
+		peer.SetDeadline(quiet())
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		if tick, err := strconv.ParseInt(string(line), 10, 64); err == nil {
+			if tick > r.last {
+				return errGap
+			}
+			continue
+		}
+		news, err := r.event(line)
+		if err != nil {
+			if !errors.Is(err, errGap) {
+				r.last = 0 // from the whole list on
+			}
+			return err
+		}
+		if news {
+			r.Log.Debug().Int64("event", r.last).Msg("roster changed")
+		}
+	}
+	return errors.Join(lines.Err(), errors.New("channel closed"))
+}
+
+// event takes one event; false for a repeat.
+func (r *Roster) event(line []byte) (bool, error) {
+	var e struct {
+		Cursor int64
+		Nodes  *struct {
+			Whole bool
+			Hosts []struct {
+				Host, Dial, Site, Class string
+				Block                   int
+				Health                  string
+				Born                    float64 `json:"born_ms"`
+			}
+		}
+	}
+	if err := json.Unmarshal(line, &e); err != nil {
+		return false, fmt.Errorf("an event that can't be read: %w", err)
+	}
+	switch {
+	case e.Cursor <= 0 || e.Nodes != nil && len(e.Nodes.Hosts) > r.Limits.LinesLeft:
+		return false, fmt.Errorf("event %d with what can't be", e.Cursor)
+	case e.Cursor <= r.last:
+		return false, nil
+	case r.last > 0 && e.Cursor != r.last+1 && (e.Nodes == nil || !e.Nodes.Whole):
+		return false, errGap
+	}
+	r.last = e.Cursor
+	if e.Nodes == nil {
+		return true, nil
+	}
+	r.Gate.RosterBegins(e.Nodes.Whole)
+	for _, h := range e.Nodes.Hosts {
+		r.Gate.Listed(h.Host, h.Dial, h.Site, h.Class, h.Block, h.Health, h.Born/1000)
+	}
+	r.Gate.RosterEnds()
+	return true, nil
+}
--- a/internal/simwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,11 @@
-package simwire
+// Package settings decodes what a deployment tells its gateways, for the module and for the sockets. The
+// simulator tells it as lines, the configuration as nested JSON; both give the same values.
+package settings
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -61,15 +66,74 @@
 	return found
 }
 
-// settings decodes a setup text; unknown keys are passed over, missing ones are zero.
-// It also gives the names of the load report's values, in their order.
-func settings(text string) (brain.Settings, []string) {
+// Settings is what is read of a deployment.
+type Settings struct {
+	Brain                 brain.Settings
+	Fields                []string // of a load report, in their order
+	Classes, Zones, Kinds []string // names, by the module's numbers
+	JobTimeouts           []float64
+	Streams, MostOpen     int
+	Idle, Connect, Drain  float64
+}
+
+// Lines decodes the simulator's text; unknown keys are passed over, missing ones are zero.
+func Lines(text string) Settings {
 	v := values{}
 	for line := range strings.Lines(text) {
 		if path, value, ok := strings.Cut(strings.TrimSpace(line), "="); ok {
 			v[path] = value
 		}
 	}
+	return v.decode()
+}
+
+// JSON decodes the configuration's object.
+func JSON(text []byte) (Settings, error) {
+	var tree map[string]any
+	d := json.NewDecoder(strings.NewReader(string(text)))
+	d.UseNumber()
+	if err := d.Decode(&tree); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	if len(tree) == 0 {
+		return Settings{}, errors.New("settings: empty")
+	}
+	v := values{}
+	v.lay("", tree)
+	return v.decode(), nil
+}
+
+// Name gives a name as the simulator's text writes it.
+func Name(s string) string { return strings.NewReplacer(" ", "_", ",", "_").Replace(s) }
+
+// lay puts a nested value down as the simulator's lines do.
+func (v values) lay(path string, x any) {
+	under := func(key string) string { return strings.TrimPrefix(path+"."+key, ".") }
+	switch x := x.(type) {
+	case map[string]any:
+		for key, item := range x {
+			v.lay(under(key), item)
+		}
+	case []any:
+		if slices.ContainsFunc(x, func(item any) bool { _, ok := item.(map[string]any); return ok }) {
+			v[under("count")] = strconv.Itoa(len(x))
+			for i, item := range x {
+				v.lay(under(strconv.Itoa(i)), item)
+			}
+			return
+		}
+		items := make([]string, len(x))
+		for i, item := range x {
+			items[i] = Name(fmt.Sprint(item))
+		}
+		v[path] = strings.Join(items, ",")
+	case nil:
+	default:
+		v[path] = Name(fmt.Sprint(x))
+	}
+}
+
+func (v values) decode() Settings {
 	s := brain.Settings{
 		Gateways:       max(v.count("group-size"), 1),
 		Index:          v.count("index"),
@@ -129,5 +193,35 @@
 	for i := range v.count("tenants.count") {
 		s.Tenants = append(s.Tenants, v.num("tenants."+strconv.Itoa(i)+".quota-rps"))
 	}
-	return s, v.list("report.fields")
+	all := Settings{
+		Brain:    s,
+		Fields:   v.list("report.fields"),
+		Zones:    v.list("areas"),
+		Kinds:    v.list("host-types"),
+		Streams:  max(v.count("allowed.streams-per-conn"), 1),
+		MostOpen: v.count("allowed.max-open"),
+		Idle:     v.num("allowed.conn-idle"),
+		Connect:  v.num("allowed.connect-timeout"),
+		Drain:    v.num("contract.stop-sending-within"),
+	}
+	for i := range s.Classes {
+		p := "classes." + strconv.Itoa(i) + "."
+		all.Classes = append(all.Classes, v[p+"name"])
+		all.JobTimeouts = append(all.JobTimeouts, v.num(p+"give-up"))
+	}
+	return all
+}
+
+// Load is a load report: jobs, jobs waiting, share of the cores, of the memory and of the disks, -1 for what it
+// does not tell.
+type Load [5]float64
+
+// Untold is a report that tells nothing.
+var Untold = Load{-1, -1, -1, -1, -1}
+
+// Set takes a value by its name; names that say nothing to the module are passed over.
+func (l *Load) Set(name string, value float64) {
+	if i := slices.Index([]string{"busy_reqs", "pending", "cpu_share", "x0", "x1"}, name); i >= 0 {
+		l[i] = value
+	}
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -12,6 +12,7 @@
 	"math"
 
 	"copperrock.example/copperrock/brain"
+	"copperrock.example/copperrock/internal/settings"
 )
 
 const (
@@ -161,9 +162,9 @@
 		if err != nil {
 			return err
 		}
-		set, fields := settings(string(text))
+		set := settings.Lines(string(text))
 		out := &actions{link: l, who: who}
-		l.instances[who] = &instance{brain.New(rec.u64(1), set, out), fields, out}
+		l.instances[who] = &instance{brain.New(rec.u64(1), set.Brain, out), set.Fields, out}
 		return nil
 	case codeDestroy:
 		if in == nil {
@@ -254,16 +255,11 @@
 	if n > 4 {
 		return fmt.Errorf("load report of %d values", n)
 	}
-	jobs, waiting, util, memory, disks := -1.0, -1.0, -1.0, -1.0, -1.0
-	slots := map[string]*float64{
-		"busy_reqs": &jobs, "pending": &waiting, "cpu_share": &util, "x0": &memory, "x1": &disks,
-	}
+	load := settings.Untold
 	for i := range min(n, len(in.fields)) {
-		if slot := slots[in.fields[i]]; slot != nil {
-			*slot = rec.f32(at + 1 + 4*i)
-		}
+		load.Set(in.fields[i], rec.f32(at+1+4*i))
 	}
-	in.brain.Reported(now, engine, jobs, waiting, util, memory, disks)
+	in.brain.Reported(now, engine, load[0], load[1], load[2], load[3], load[4])
 	return nil
 }
 
