Keep engine connections beyond the dispatch that opened them

A joined error from the writer showed 'context canceled': conn.run took the context of the dispatch that had opened it (engine.go, pick), so the end of that dispatch cut off all others. Ruled out: the idle timer, full queues.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -251,7 +251,7 @@
 		writer.Go(func() error { defer peer.Close(); return c.writes(ctx) })
 		err = c.reads(bufio.NewReaderSize(peer, c.Limits.Buffer))
 		cancel()
-		writer.Wait()
+		err = errors.Join(writer.Wait(), err)
 		stop()
 	}
 	c.mu.Lock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -26,6 +26,7 @@
 	Pool     *buffer.Pool
 	Log      zerolog.Logger
 	Group    *errgroup.Group // owns the goroutines
+	Context  context.Context // of its connections
 	Slots    chan struct{}   // one for each connection to any engine
 
 	stopped atomic.Bool
@@ -63,13 +64,13 @@
 )
 
 // Ask dispatches a job. The statement is held until it is written.
-func (e *Engine) Ask(ctx context.Context, ref, class string, statement *buffer.Chain, until time.Time, grant float64,
+func (e *Engine) Ask(ref, class string, statement *buffer.Chain, until time.Time, grant float64,
 	priority int) *Call {
 	k := &Call{ref: ref, class: class, statement: statement, until: until, grant: grant, priority: priority,
 		step: make(chan struct{}, 2), status: brain.NoConnection}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if c := e.pick(ctx, ref); c != nil {
+	if c := e.pick(ref); c != nil {
 		c.ask(k)
 	} else {
 		k.state = ended
@@ -79,7 +80,7 @@
 }
 
 // pick finds a connection with room for a dispatch of the job, or opens one; nil where none may be had.
-func (e *Engine) pick(ctx context.Context, ref string) *conn {
+func (e *Engine) pick(ref string) *conn {
 	if e.stopped.Load() {
 		return nil
 	}
@@ -100,7 +101,7 @@
 	e.conns = append(e.conns, c)
 	e.Group.Go(func() error {
 		defer func() { <-e.Slots }()
-		c.run(ctx)
+		c.run(e.Context)
 		e.mu.Lock()
 		e.conns = slices.DeleteFunc(e.conns, func(o *conn) bool { return o == c })
 		e.mu.Unlock()
@@ -110,10 +111,10 @@
 }
 
 // Probe asks for a load report; told gets it once, or false.
-func (e *Engine) Probe(ctx context.Context, told func(load settings.Load, ok bool)) {
+func (e *Engine) Probe(told func(load settings.Load, ok bool)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if c := e.pick(ctx, ""); c != nil {
+	if c := e.pick(""); c != nil {
 		c.probe(told)
 	} else {
 		e.Group.Go(func() error { told(settings.Untold, false); return nil })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,7 +213,7 @@
 				g.group.Go(func() error {
 					// Dispatched.
 					began := g.now()
-					call := s.process.Ask(ctx, ref, class, text, until, s.grant, s.priority)
+					call := s.process.Ask(ref, class, text, until, s.grant, s.priority)
 					status, whole, ran := call.Wait(ctx)
 					if status == brain.Done && !whole { // Paged.
 						call.Next()
@@ -293,7 +293,7 @@
 		if ready && e.process == nil {
 			e.address, e.born = address, born
 			e.process = &engine.Engine{Address: address, Settings: g.settings, Limits: g.limits, Pool: g.pool,
-				Log: g.log, Group: g.group, Slots: g.slots}
+				Log: g.log, Group: g.group, Context: g.ctx, Slots: g.slots}
 		}
 		g.brain.Listed(now, e.id, index(g.settings.Zones, zone), index(g.settings.Kinds, kind), cell, ready, born)
 	})
@@ -385,7 +385,7 @@
 		g.tell(func(now float64) { g.brain.Probed(now, id, brain.NoConnection) })
 		return
 	}
-	e.process.Probe(g.ctx, func(load settings.Load, ok bool) {
+	e.process.Probe(func(load settings.Load, ok bool) {
 		g.enter(func(now float64) {
 			status := brain.TimedOut
 			if ok {
