--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,7 +189,11 @@
 	until := g.at(giveUp)
 	late := time.NewTimer(time.Until(until) + limits.Duration(2*g.limits.Margin))
 	defer late.Stop()
-	calls := make([]context.CancelFunc, 0, most)
+	type dispatched struct {
+		*engine.Call
+		giveUp context.CancelFunc
+	}
+	calls := make([]dispatched, 0, most)
 	outcomes := make(chan func(), most)
 	for gone := left.Done(); !g.closed(j, over); {
 		select {
@@ -201,19 +205,22 @@
 			case cancelForGood:
 				end(func() { to.Failed("cancelled for good") })
 			case callOff:
-				calls[s.number]()
+				calls[s.number].giveUp()
 			case prefer:
+				for _, call := range calls {
+					call.Prefer(s.priority)
+				}
 			case dispatch:
 				ctx, cancel := context.WithDeadline(g.ctx, until)
 				defer cancel()
-				calls = append(calls, cancel)
 				if over { // meanwhile
 					cancel()
 				}
+				// Dispatched.
+				began := g.now()
+				call := s.process.Ask(ref, class, text, until, s.grant, s.priority)
+				calls = append(calls, dispatched{call, cancel})
 				g.group.Go(func() error {
-					// Dispatched.
-					began := g.now()
-					call := s.process.Ask(ref, class, text, until, s.grant, s.priority)
 					status, whole, ran := call.Wait(ctx)
 					if status == brain.Done && !whole { // Paged.
 						call.Next()
