Answer 50 ms before a job's time is up; log answers that are late

The answer went 10 ms before the time that allow gives, and a pause of the process or the machine by 80 ms passed it. Ruled out: connections cut off (no such line in the logs).

--- a/cmd/copperrock/main.go
+++ b/cmd/copperrock/main.go
@@ -37,7 +37,8 @@
 func run(c config.Config) error {
 	lim := limits.For(c.MemoryMB, c.Sockets)
 	debug.SetMemoryLimit(lim.Memory)
-	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Str("name", c.Name).Logger()
+	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Str("name", c.Name).Logger().
+		Sample(&zerolog.BurstSampler{Burst: lim.LogBurst, Period: time.Second})
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,10 +184,13 @@
 		if !over {
 			over = true
 			answer()
+			if by := g.now() - giveUp - g.limits.Margin; by > 0 {
+				g.log.Warn().Str("ref", ref).Float64("by", by).Msg("answered after its time")
+			}
 		}
 	}
 	until := g.at(giveUp)
-	late := time.NewTimer(time.Until(until) + limits.Duration(2*g.limits.Margin))
+	late := time.NewTimer(time.Until(until) + limits.Duration(g.limits.Margin/2))
 	defer late.Stop()
 	type dispatched struct {
 		*engine.Call
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -19,17 +19,18 @@
 	Left        int // calls given up on one engine connection before it takes no more
 
 	// Sizes, in bytes.
-	Buffer    int   // of one buffer
-	Buffers   int64 // in use at once
-	Message   int   // one message of a client
-	Depth     int   // nesting in a message
-	Name      int   // an id, a method, the name of a field
-	Fields    int   // the fields of an engine's answer
-	Page      int   // one page of a result
-	Pages     int   // pages of a result
-	Result    int   // a whole result
-	Line      int   // a line on the command channel
-	LinesLeft int   // engines that the roster may name
+	Buffer   int    // of one buffer
+	Buffers  int64  // in use at once
+	Message  int    // one message of a client
+	Depth    int    // nesting in a message
+	Name     int    // an id, a method, the name of a field
+	Fields   int    // the fields of an engine's answer
+	Page     int    // one page of a result
+	Pages    int    // pages of a result
+	Result   int    // a whole result
+	Line     int    // a line on the command channel
+	Engines  int    // that the roster may name
+	LogBurst uint32 // lines a second
 
 	// Times.
 	Margin       float64 // before a job's time is up, for the way back
@@ -59,19 +60,20 @@
 		Queue:       256,
 		Left:        1000,
 
-		Buffer:    8 << 10, // a page with room
-		Buffers:   max(memory/4/(8<<10), 16),
-		Message:   256 << 10,
-		Depth:     8,
-		Name:      128,
-		Fields:    1 << 10,
-		Page:      6000,
-		Pages:     64,
-		Result:    48000,
-		Line:      1 << 20,
-		LinesLeft: 10000,
+		Buffer:   8 << 10, // a page with room
+		Buffers:  max(memory/4/(8<<10), 16),
+		Message:  256 << 10,
+		Depth:    8,
+		Name:     128,
+		Fields:   1 << 10,
+		Page:     6000,
+		Pages:    64,
+		Result:   48000,
+		Line:     1 << 20,
+		Engines:  10000,
+		LogBurst: 50,
 
-		Margin:       0.01,
+		Margin:       0.05, // a pause of this process that an answer survives
 		ClientWrite:  2,
 		ClientRead:   10,
 		ClientIdle:   60,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -127,7 +127,7 @@
 		return false, fmt.Errorf("an event that can't be read: %w", err)
 	}
 	switch {
-	case e.Cursor <= 0 || e.Nodes != nil && len(e.Nodes.Hosts) > r.Limits.LinesLeft:
+	case e.Cursor <= 0 || e.Nodes != nil && len(e.Nodes.Hosts) > r.Limits.Engines:
 		return false, fmt.Errorf("event %d with what can't be", e.Cursor)
 	case e.Cursor <= r.last:
 		return false, nil
