--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,7 @@
 // The decisions of one gateway. Call New, then one method for each event with the time now; what is decided
-// leaves through Actions before the method returns. Settings and Actions are in iface.go, plain types in
-// state.go. A job becomes a memory grant, clamped between bounds. It is dispatched where this gateway's own
-// tallies, by engine and by class, have room for the grant, and is held in its class's queue otherwise. All
-// else here is an exception to that; docs/design.md tells when each one acts.
+// leaves through Actions before it returns. Settings and Actions are in iface.go, plain types in state.go. A
+// job becomes a memory grant, clamped between bounds, and is dispatched where this gateway's own tallies, by
+// engine and class, have room for it, else held in its class's queue. docs/design.md tells the exceptions.
 package brain
 
 import (
@@ -34,7 +33,7 @@
 	usualRead float64 // share of memory granted, at the mean of what was read
 	overdue   ring    // the longest at any answer
 
-	askAt, swept, looked, freed, bell float64
+	askAt, swept, looked, freed, bell, ends float64
 
 	job    *job // what the rule that fires is about
 	engine *engine
@@ -72,7 +71,7 @@
 // New makes the module of one gateway.
 func New(seed uint64, set Settings, out Actions) *Brain {
 	b := &Brain{set: set, out: out, dice: dice{seed: seed}, roster: roster{engines: map[uint32]*engine{}},
-		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10)}
+		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10), ends: math.Inf(1)}
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time, at a pace near the best.
@@ -99,8 +98,8 @@
 	tables uint32, retry bool) {
 	b.now = now
 	c := b.classes[class]
-	j := &job{id: id, class: c, taken: now, giveUp: giveUp, told: cost, memory: memory, tables: tables}
-	j.work = c.mean
+	j := &job{id: id, class: c, taken: now, work: c.mean, told: cost, memory: memory, tables: tables}
+	j.giveUp = min(giveUp, b.ends)
 	if cost > 0 {
 		const weight = 5 // answers' worth of belief in the estimate as told
 		j.work = cost * (c.work + weight*c.mean) / (c.told + weight*c.mean)
@@ -156,6 +155,15 @@
 	b.end(b.job)
 }
 
+// Ends tells that the gateway ends then: no job's time goes beyond, and what can't be done by then gives way.
+func (b *Brain) Ends(now, at float64) {
+	b.now, b.ends = now, at
+	for _, j := range b.giveUps {
+		j.giveUp = min(j.giveUp, at)
+	}
+	b.settle()
+}
+
 // throttle ends the job and asks the client to stay away as long as it may heed. Where a repeat could do harm
 // the job is cancelled for good, which promises nothing.
 func (b *Brain) throttle() {
@@ -211,9 +219,8 @@
 
 // ---- grants and tallies
 
-// grant is the memory that a dispatch names, 0 for none, and what the tallies count for it. The least grant
-// lets 3 threads a core fill the memory, so that the tallies keep cores from thrashing too (the page's 8 did
-// not, 2 idles engines).
+// grant is the memory that a dispatch names, 0 for none, and what the tallies count for it. The least lets
+// 3 threads a core fill the memory, which keeps cores from thrashing (the page's 8 did not, 2 idles them).
 func (b *Brain) grant(j *job, k Kind) (named, counted float64) {
 	c := j.class
 	most := k.Memory * min(0.25, cmp.Or(b.set.LargestShare, 1))
@@ -240,8 +247,7 @@
 }
 
 // share is the part of an engine's memory that this gateway may have granted at once, but for one job of any
-// size. The page's twice that never bound before engines thrashed; its floor of a maximum grant overfilled
-// them.
+// size. The page's twice never bound before engines thrashed; its floor of a most grant overfilled them.
 func (b *Brain) share(e *engine) float64 {
 	return b.set.Kinds[e.kind].Memory * b.warmth(e) / float64(b.set.Gateways)
 }
@@ -262,8 +268,7 @@
 
 // pool is the memory that the class may have granted: the shares of all usable engines. What is booked on the
 // others, a hung one's grants above all, takes no room from it. With many gateways an even part is less than
-// chance asks for: patient engines bear two maximum grants; where engines are read, there is room while such
-// jobs run well. Elsewhere more than the part jammed the fleet.
+// chance asks for: patient engines bear two most grants; those that are read, more while such jobs run well.
 func (b *Brain) pool(c *class) float64 {
 	sum, most := 0.0, 0.0
 	for _, e := range b.roster.fleet {
@@ -312,8 +317,7 @@
 }
 
 // withinCold keeps this gateway's part of a cold engine's budget, half of it kept back for wrong estimates.
-// By a hash the first gateway has half of that, the second a quarter and so on: within the budget for any
-// number of gateways, and some can bear a whole job.
+// By a hash the first gateway has half of that, the second a quarter and so on: never more for any number.
 func (b *Brain) withinCold(j *job, e *engine) bool {
 	if b.warmth(e) == 1 {
 		return true
@@ -427,8 +431,7 @@
 }
 
 // load is the engine's own estimated work, the job's with it, over what it gets done. The memory granted by
-// all gateways counts with it where it is read, a full engine as a second of work for each core; the usual
-// reading stands in for a missing one.
+// all gateways counts with it where it is read, a full engine as a second for each core; else the usual one.
 func (b *Brain) load(e *engine, j *job, homes []*engine) float64 {
 	k, work, granted := b.set.Kinds[e.kind], j.work, b.usualRead
 	if slices.Contains(homes, e) {
@@ -717,8 +720,7 @@
 		(len(b.giveUps) > 0 || b.set.AskRoster && !b.roster.watched)
 }
 
-// nap is 10 ms while jobs are held, for the queues; else a tenth of a second, for silences, or up to a give-
-// up.
+// nap is 10 ms while jobs are held, for the queues; else a tenth of a second, for silences, or to a give-up.
 func (b *Brain) nap() float64 {
 	held := slices.ContainsFunc(b.classes, func(c *class) bool { return len(c.queue) > 0 })
 	if j := b.giveUps.first(); j != nil && !held && len(b.again) == 0 {
--- a/cmd/copperrock/main.go
+++ b/cmd/copperrock/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -59,21 +60,25 @@
 	server := &client.Server{Gate: g, Limits: lim, Pool: pool, Log: log}
 	group.Go(func() error { return g.Run(ctx) })
 	group.Go(func() error { return channel.Run(ctx) })
-	group.Go(func() error { return server.Run(ctx, l) })
+	served := make(chan struct{})
+	group.Go(func() error { defer close(served); return server.Run(ctx, l) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-term.Done():
 		}
-		log.Info().Int("jobs", g.Open()).Msg("leaving")
-		g.SetReady(false)
-		leave := time.Now().Add(limits.Duration(lim.Leave))
+		last := min(slices.Max(c.Settings.JobTimeouts), lim.Longest) + lim.Leave
+		log.Info().Float64("within", last).Msg("leaving")
+		g.Leave(last - lim.Margin)
+		end := time.After(limits.Duration(last + lim.Margin))
 		time.Sleep(limits.Duration(lim.Stay))
 		l.Close()
 		server.Leave()
-		for g.Open() > 0 && time.Now().Before(leave) {
-			time.Sleep(10 * time.Millisecond)
+		select {
+		case <-served:
+		case <-end:
+			log.Warn().Msg("clients are left with answers unread")
 		}
 		cancel()
 		return nil
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -43,27 +43,28 @@
 	Pool   *buffer.Pool
 	Log    zerolog.Logger
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	leaving bool
 }
 
 // Run serves until the listener is closed, then until the last connection has ended. At the end of ctx
 // connections are cut off.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	s.mu.Lock()
 	s.conns = map[*conn]struct{}{}
+	s.mu.Unlock()
 	var group errgroup.Group
 	slots := make(chan struct{}, s.Limits.ClientConns)
 	for {
-		select {
-		case slots <- struct{}{}:
-		case <-ctx.Done():
-			return errors.Join(ctx.Err(), group.Wait())
-		default: // an idle connection goes first; else accepting waits
-			s.closeIdlest()
+		for room := false; !room; {
 			select {
 			case slots <- struct{}{}:
+				room = true
 			case <-ctx.Done():
 				return errors.Join(ctx.Err(), group.Wait())
+			case <-time.After(limits.Duration(s.Limits.ClientRetry)): // accepting waits
+				s.closeIdlest()
 			}
 		}
 		peer, err := l.Accept()
@@ -73,7 +74,7 @@
 		if err != nil {
 			s.Log.Warn().Err(err).Msg("accepting failed")
 			<-slots
-			time.Sleep(limits.Duration(s.Limits.ChannelRetry))
+			time.Sleep(limits.Duration(s.Limits.ClientRetry))
 			continue
 		}
 		group.Go(func() error {
@@ -88,11 +89,9 @@
 func (s *Server) Leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaving = true
 	for c := range s.conns {
-		c.mu.Lock()
-		c.leaving = true
-		c.peer.SetReadDeadline(time.Now())
-		c.mu.Unlock()
+		c.leave()
 	}
 }
 
@@ -119,6 +118,7 @@
 	mu      sync.Mutex
 	open    map[uint32]*reply // jobs
 	reading bool              // a message has begun
+	owed    int               // answers not yet written
 	leaving bool              // takes no more jobs
 	since   time.Time         // the latest message or answer
 }
@@ -127,6 +127,14 @@
 type answer struct {
 	head, tail []byte
 	rows       *buffer.Chain
+	job        bool // counted as owed
+}
+
+func (c *conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	c.peer.SetReadDeadline(time.Now())
 }
 
 func (c *conn) idle() bool {
@@ -135,23 +143,29 @@
 	return len(c.open) == 0 && !c.reading
 }
 
-// serve reads a connection to its end. Its jobs end with it, and its writer after them.
+// serve reads a connection to its end. Jobs of a client that has left are withdrawn; after a message that can't be
+// followed, or at the server's leave, they are answered first.
 func (s *Server) serve(ctx context.Context, peer net.Conn) {
 	c := &conn{Server: s, peer: peer, open: map[uint32]*reply{}, since: time.Now(),
-		write: make(chan answer, 2*s.Limits.JobsPerConn)}
+		write: make(chan answer, 4*s.Limits.JobsPerConn)}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
+	if s.leaving {
+		c.leave()
+	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { peer.Close() })
 	var jobs, writer errgroup.Group
 	writer.Go(func() error { defer cancel(); return c.writes() })
 	err := c.reads(ctx, &jobs)
-	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, errLeaving) {
-		s.Log.Info().Err(err).Str("client", peer.RemoteAddr().String()).Msg("client connection cut off")
-	}
-	if !errors.Is(err, errLeaving) {
-		cancel() // what is open is withdrawn
+	switch {
+	case errors.Is(err, errLeaving):
+	case !errors.Is(err, os.ErrDeadlineExceeded) && errors.As(err, new(*net.OpError)),
+		errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		cancel()
+	default:
+		s.Log.Info().Err(err).Str("client", peer.RemoteAddr().String()).Msg("client can't be followed")
 	}
 	jobs.Wait()
 	close(c.write)
@@ -238,7 +252,7 @@
 	to := &reply{conn: c, id: uint32(id)}
 	c.mu.Lock()
 	_, twice := c.open[to.id]
-	crowd := len(c.open) >= c.Limits.JobsPerConn
+	crowd := c.owed >= 2*c.Limits.JobsPerConn // twice: an answer may be read before it counts as written
 	c.mu.Unlock()
 	switch {
 	case twice:
@@ -256,6 +270,7 @@
 	ctx, to.leave = context.WithCancel(ctx)
 	c.mu.Lock()
 	c.open[to.id] = to
+	c.owed++
 	c.mu.Unlock()
 	jobs.Go(func() error {
 		defer statement.Free()
@@ -402,6 +417,11 @@
 		parts = append(parts, a.tail)
 		_, err := parts.WriteTo(c.peer)
 		a.rows.Free()
+		if a.job {
+			c.mu.Lock()
+			c.owed--
+			c.mu.Unlock()
+		}
 		if err != nil {
 			c.peer.Close()
 			for a := range c.write {
@@ -449,7 +469,10 @@
 
 func (a *reply) final(w answer) {
 	a.mu.Lock()
-	delete(a.open, a.id)
+	w.job = a.open[a.id] == a
+	if w.job {
+		delete(a.open, a.id)
+	}
 	a.since = time.Now()
 	a.mu.Unlock()
 	a.put(w)
@@ -462,5 +485,6 @@
 	defer a.mu.Unlock()
 	if a.open[a.id] == a { // not another job by now
 		delete(a.open, a.id)
+		a.owed--
 	}
 }
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -378,7 +378,12 @@
 			return errors.Join(err, fmt.Errorf("a page of %d bytes", n))
 		}
 		body = c.Pool.NewChain()
-		if err = body.Fill(in, n); err == nil {
+		if err = body.Fill(in, n); errors.Is(err, buffer.ErrSpent) { // this dispatch fails, no other
+			c.Log.Warn().Msg("all buffers are in use, page not read")
+			_, err = in.Discard(n - body.Size())
+			words[1] = "failed"
+		}
+		if err == nil {
 			err = lineEnd(in)
 		}
 		if err != nil {
@@ -461,7 +466,9 @@
 	k.size += body.Size()
 	switch {
 	case k.size > most || body.Size() > 0 && body.Last() != '\n':
+		k.conn.left[k.ref] = struct{}{}
 		k.end(brain.Failed)
+		k.conn.put(line{words: []string{"FREE", k.ref}})
 	case k.missing == 0:
 		k.end(brain.Done)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,11 +146,10 @@
 	g.ready = ready
 }
 
-// Open is the number of jobs that are not over.
-func (g *Gateway) Open() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.jobs)
+// Leave tells that the gateway ends so many seconds from now. It takes jobs until then but is not ready for more.
+func (g *Gateway) Leave(after float64) {
+	g.SetReady(false)
+	g.enter(func(now float64) { g.brain.Ends(now, now+after) })
 }
 
 // Serve is the life of a job.
@@ -208,7 +207,9 @@
 			case cancelForGood:
 				end(func() { to.Failed("cancelled for good") })
 			case callOff:
-				calls[s.number].giveUp()
+				if s.number < len(calls) {
+					calls[s.number].giveUp()
+				}
 			case prefer:
 				for _, call := range calls {
 					call.Prefer(s.priority)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -37,13 +37,15 @@
 	ClientWrite  float64 // for a client to take what is written
 	ClientRead   float64 // for the rest of a message begun
 	ClientIdle   float64 // without an open job
+	ClientRetry  float64 // between looks for a free place
 	EngineWrite  float64 // for an engine to take what is written
 	Probe        float64 // for the answer to a probe
 	ChannelQuiet float64 // without a tick
 	ChannelRetry float64 // between tries to connect
 	ChannelWait  float64 // for a connection to the channel
 	Stay         float64 // after the signal, in which jobs may still come
-	Leave        float64 // after the signal, by when all is answered
+	Longest      float64 // job timeout that is waited for after the signal
+	Leave        float64 // more, by when all is answered
 }
 
 // For fills the limits for a machine with so much memory and so many descriptors.
@@ -77,13 +79,15 @@
 		ClientWrite:  2,
 		ClientRead:   10,
 		ClientIdle:   60,
+		ClientRetry:  0.02,
 		EngineWrite:  1,
 		Probe:        0.25,
-		ChannelQuiet: 2.5, // two ticks missed
+		ChannelQuiet: 2, // a tick missed and a late one
 		ChannelRetry: 0.1,
 		ChannelWait:  1,
 		Stay:         0.8, // 0.4 s for new connections, 0.2 s more on open ones, and the way here
-		Leave:        3.3, // SIGKILL may come 0.7 s after the longest job timeout, 3 s at most
+		Longest:      3,
+		Leave:        0.3, // of the 0.7 s before SIGKILL, the rest for a pause
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -32,6 +32,7 @@
 	Log     zerolog.Logger
 
 	last int64 // the number of the last event taken
+	up   bool  // what it says is heard
 }
 
 // Known takes the events that the configuration holds.
@@ -47,16 +48,16 @@
 
 // Run keeps to the channel until ctx ends, and connects anew whenever it closes or falls silent.
 func (r *Roster) Run(ctx context.Context) error {
-	for down := false; ctx.Err() == nil; {
-		began := time.Now()
+	r.up = true
+	for ctx.Err() == nil {
 		err := r.follow(ctx)
 		if ctx.Err() != nil {
 			break
 		}
-		if lasted := time.Since(began) > limits.Duration(r.Limits.ChannelQuiet); lasted || !down {
+		if r.up {
 			r.Log.Warn().Err(err).Int64("event", r.last).Msg("command channel lost")
 		}
-		down = true
+		r.up = false
 		select {
 		case <-ctx.Done():
 		case <-time.After(limits.Duration(r.Limits.ChannelRetry)):
@@ -93,6 +94,10 @@
 			if tick > r.last {
 				return errGap
 			}
+			if !r.up {
+				r.Log.Info().Int64("event", r.last).Msg("command channel back")
+			}
+			r.up = true
 			continue
 		}
 		news, err := r.event(line)
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,303 @@
+// Package testkit holds what tests share: traces, and stand-ins for clients, engines and the command channel
+// that speak their published protocols on loopback.
+package testkit
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+var update = flag.Bool("update", false, "write the traces anew")
+
+// patience ends a test that hangs; no verdict rests on it.
+const patience = 10 * time.Second
+
+// Check compares lines with the trace kept under testdata.
+func Check(t testing.TB, lines []string) {
+	t.Helper()
+	file := filepath.Join("testdata", strings.TrimPrefix(t.Name(), "Test")+".trace")
+	got := strings.Join(lines, "\n") + "\n"
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("trace differs from %s (-kept +got):\n%s", file, diff)
+	}
+}
+
+// Bytes reads hex with blanks.
+func Bytes(text string) []byte {
+	b, err := hex.DecodeString(strings.ReplaceAll(text, " ", ""))
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// Trace gathers what the parties see, in the order in which the test looks.
+type Trace struct {
+	T     testing.TB
+	Lines []string
+}
+
+// New starts a trace and makes sure that nothing is left over at the test's end.
+func New(t testing.TB) *Trace {
+	goroutines, descriptors := runtime.NumGoroutine(), open()
+	t.Cleanup(func() {
+		for end := time.Now().Add(patience); runtime.NumGoroutine() > goroutines || open() > descriptors; {
+			if time.Now().After(end) {
+				stacks := make([]byte, 1<<16)
+				t.Fatalf("%d goroutines and %d descriptors more than before\n%s", runtime.NumGoroutine()-goroutines,
+					open()-descriptors, stacks[:runtime.Stack(stacks, true)])
+			}
+			time.Sleep(time.Millisecond)
+		}
+	})
+	return &Trace{T: t}
+}
+
+// open counts sockets: the runtime's own descriptors come and go.
+func open() (n int) {
+	files, _ := filepath.Glob("/proc/self/fd/*")
+	for _, f := range files {
+		if to, _ := os.Readlink(f); strings.HasPrefix(to, "socket:") {
+			n++
+		}
+	}
+	return n
+}
+
+// Say adds a line.
+func (x *Trace) Say(format string, args ...any) {
+	x.Lines = append(x.Lines, fmt.Sprintf(format, args...))
+}
+
+// Check compares the trace with the kept one.
+func (x *Trace) Check() { x.T.Helper(); Check(x.T, x.Lines) }
+
+func (x *Trace) must(err error) {
+	if err != nil {
+		x.T.Helper()
+		x.T.Fatal(err)
+	}
+}
+
+// Client is a client on one connection.
+type Client struct {
+	*Trace
+	net.Conn
+	in *msgpack.Decoder
+}
+
+// Dial connects a client.
+func (x *Trace) Dial(address string) *Client {
+	x.T.Helper()
+	var peer net.Conn
+	for end := time.Now().Add(patience); peer == nil; {
+		var err error
+		if peer, err = net.Dial("tcp", address); err != nil && time.Now().After(end) {
+			x.T.Fatal(err)
+		}
+	}
+	peer.SetDeadline(time.Now().Add(patience))
+	x.T.Cleanup(func() { peer.Close() })
+	return &Client{x, peer, msgpack.NewDecoder(peer)}
+}
+
+// Send writes a message as it is.
+func (c *Client) Send(message ...any) {
+	b, err := msgpack.Marshal(message)
+	c.must(err)
+	_, err = c.Write(b)
+	c.must(err)
+}
+
+// Job asks for a job whose ref is its message id sixteen times over.
+func (c *Client) Job(id int, class string, allow int, statement string) {
+	c.T.Helper()
+	c.Say("client: job %d %s", id, class)
+	c.Send(0, id, class, []any{map[string]string{"ref": Ref(id), "allow": fmt.Sprint(allow), "effort": "820.0",
+		"need_mb": "96"}, []byte(statement)})
+}
+
+// Ref is the id of a job.
+func Ref(id int) string { return strings.Repeat(fmt.Sprintf("%x", id%16), 16) }
+
+// Answer reads one answer.
+func (c *Client) Answer() {
+	c.T.Helper()
+	var answer []any
+	if err := c.in.Decode(&answer); err != nil {
+		c.Say("client: %s", ending(err))
+		return
+	}
+	c.Say("client: answer %q", answer)
+}
+
+// Engine is an engine at one address.
+type Engine struct {
+	*Trace
+	net.Listener
+	name  string
+	said  chan string
+	peers []net.Conn
+}
+
+// Listen starts an engine, at a free port for the address ":0".
+func (x *Trace) Listen(name, address string) *Engine {
+	x.T.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1"+address)
+	x.must(err)
+	e := &Engine{Trace: x, Listener: l, name: name, said: make(chan string, 100)}
+	x.T.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			peer, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.peers = append(e.peers, peer)
+			x.T.Cleanup(func() { peer.Close() })
+			go e.hear(n, peer)
+		}
+	}()
+	return e
+}
+
+var wait = regexp.MustCompile(`w=\d+`)
+
+func (e *Engine) hear(n int, peer net.Conn) {
+	in := bufio.NewReader(peer)
+	for {
+		words, err := command(in)
+		if err != nil {
+			e.said <- fmt.Sprintf("%d: %s", n, ending(err))
+			return
+		}
+		e.said <- fmt.Sprintf("%d: %s", n, wait.ReplaceAllString(strings.Join(words, " "), "w=_"))
+	}
+}
+
+func command(in *bufio.Reader) (words []string, err error) {
+	var parts, size int
+	if _, err = fmt.Fscanf(in, "*%d\r\n", &parts); err != nil {
+		return nil, err
+	}
+	for range parts {
+		if _, err = fmt.Fscanf(in, "$%d\r\n", &size); err != nil {
+			return nil, err
+		}
+		b := make([]byte, size+2)
+		if _, err = io.ReadFull(in, b); err != nil {
+			return nil, err
+		}
+		words = append(words, string(b[:size]))
+	}
+	return words, nil
+}
+
+// Hears waits for so many commands; those at once come in the order of the alphabet.
+func (e *Engine) Hears(n int) {
+	e.T.Helper()
+	for range n {
+		select {
+		case s := <-e.said:
+			e.Say("%s on %s", e.name, s)
+		case <-time.After(patience):
+			e.T.Fatalf("%s hears nothing; so far:\n%s", e.name, strings.Join(e.Lines, "\n"))
+		}
+	}
+}
+
+// Answers answers on its n-th connection.
+func (e *Engine) Answers(n int, words ...string) {
+	e.T.Helper()
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "*%d\r\n", len(words))
+	for _, w := range words {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(w), w)
+	}
+	e.Says(n, b.String())
+}
+
+// Says writes bytes as they are.
+func (e *Engine) Says(n int, text string) {
+	e.T.Helper()
+	_, err := io.WriteString(e.peers[n-1], text)
+	e.must(err)
+}
+
+// Cut resets its n-th connection.
+func (e *Engine) Cut(n int) {
+	e.Say("%s cuts %d off", e.name, n)
+	e.peers[n-1].(*net.TCPConn).SetLinger(0)
+	e.peers[n-1].Close()
+}
+
+// Channel is the command channel.
+type Channel struct {
+	*Trace
+	net.Listener
+	peer net.Conn
+}
+
+// Channel starts one.
+func (x *Trace) Channel() *Channel {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	x.must(err)
+	x.T.Cleanup(func() { l.Close() })
+	return &Channel{Trace: x, Listener: l}
+}
+
+// Accepts waits for a controller and what it asks for.
+func (c *Channel) Accepts() {
+	c.T.Helper()
+	peer, err := c.Accept()
+	c.must(err)
+	c.T.Cleanup(func() { peer.Close() })
+	line, err := bufio.NewReader(peer).ReadString('\n')
+	c.must(err)
+	c.Say("channel: %q", line)
+	c.peer = peer
+}
+
+// Tells writes a line.
+func (c *Channel) Tells(line string) {
+	c.T.Helper()
+	c.Say("channel tells %s", line)
+	_, err := io.WriteString(c.peer, line+"\n")
+	c.must(err)
+}
+
+// Closes ends the connection.
+func (c *Channel) Closes() { c.peer.Close() }
+
+// ending words the end of a connection the same way each time.
+func ending(err error) string {
+	if strings.Contains(err.Error(), "reset") || strings.Contains(err.Error(), "EOF") ||
+		strings.Contains(err.Error(), "closed") {
+		return "connection ended"
+	}
+	return err.Error()
+}
