Test the controller on loopback stand-ins; answer 0.15 s before a job's time; contain bad input

Ruled out: connections cut off, clients that could not be followed (no log line). Now 0.15 s, a tenth of the job's time at most, and rarer collections.

The new tests found: a statement whose length passes the message limit waited 10 s for its bytes (client.go, args); after a message that can't be followed a client's leave was not noticed (client.go, serve). Both mended, with the tests that showed them.

--- a/cmd/copperrock/main.go
+++ b/cmd/copperrock/main.go
@@ -25,19 +25,20 @@
 )
 
 func main() {
-	c, err := config.Read(os.Getenv("LB_CONFIG"))
-	if err == nil {
-		err = run(c)
-	}
-	if err != nil {
+	if err := start(); err != nil {
 		fmt.Fprintln(os.Stderr, "copperrock:", err)
 		os.Exit(1)
 	}
 }
 
-func run(c config.Config) error {
+func start() error {
+	c, err := config.Read(os.Getenv("LB_CONFIG"))
+	if err != nil {
+		return err
+	}
 	lim := limits.For(c.MemoryMB, c.Sockets)
 	debug.SetMemoryLimit(lim.Memory)
+	debug.SetGCPercent(lim.Garbage)
 	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Str("name", c.Name).Logger().
 		Sample(&zerolog.BurstSampler{Burst: lim.LogBurst, Period: time.Second})
 	l, err := net.Listen("tcp", c.Listen)
@@ -46,6 +47,11 @@
 	}
 	term, done := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer done()
+	return run(term, c, lim, l, log)
+}
+
+// run serves until term ends, and then as long as what is open needs.
+func run(term context.Context, c config.Config, lim limits.Limits, l net.Listener, log zerolog.Logger) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
@@ -71,7 +77,7 @@
 		last := min(slices.Max(c.Settings.JobTimeouts), lim.Longest) + lim.Leave
 		log.Info().Float64("within", last).Msg("leaving")
 		g.Leave(last - lim.Margin)
-		end := time.After(limits.Duration(last + lim.Margin))
+		end := time.After(limits.Duration(max(last, lim.Stay) + lim.Margin))
 		time.Sleep(limits.Duration(lim.Stay))
 		l.Close()
 		server.Leave()
--- /dev/null
+++ b/cmd/copperrock/main_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"copperrock.example/copperrock/internal/config"
+	"copperrock.example/copperrock/internal/limits"
+	"copperrock.example/copperrock/internal/settings"
+	"copperrock.example/copperrock/internal/testkit"
+)
+
+const deployment = `{"allowed":{"cancel":true,"conn-idle":3600,"connect-timeout":10,"max-open":100,"max-retry-after":2,
+"may-duplicate":true,"retry-after":true,"streams-per-conn":4,"try-limit":3},"areas":["east"],
+"classes":[{"name":"lookup","give-up":60,"objective":60,"repeat":"pure","worth":1},
+{"name":"load","give-up":60,"objective":60,"repeat":"side_effect","worth":5}],
+"contract":{"stop-sending-within":1},"family-info":{"dop":[1,2],"grants":true,"kind-cores":[16],"largest-share":0.25,
+"ram-of-kind-mb":[32768],"takes-priority":true,"on-shortage":"wait"},"group-size":1,"host-types":["std"]}`
+
+// controller is a whole one among stand-ins.
+type controller struct {
+	*testkit.Trace
+	channel *testkit.Channel
+	client  *testkit.Client
+	address string
+	events  int
+	term    context.CancelFunc
+	ended   errgroup.Group
+}
+
+// begin starts a controller that knows the engines at the addresses.
+func begin(x *testkit.Trace, lim func(*limits.Limits), engines ...string) *controller {
+	t := x.T
+	c := &controller{Trace: x, channel: x.Channel()}
+	set, err := settings.JSON([]byte(deployment))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.address = l.Addr().String()
+	known := json.RawMessage(c.event(true, "in_service", engines...))
+	conf := config.Config{Channel: c.channel.Addr().String(), Cursor: 1, Events: []json.RawMessage{known}, Settings: set}
+	limit := limits.For(64, 256)
+	limit.Stay, limit.Longest, limit.Leave, limit.Margin, limit.MarginShare = 0, 0, 1, 0.5, 0.5
+	if lim != nil {
+		lim(&limit)
+	}
+	term, cancel := context.WithCancel(context.Background())
+	c.term = cancel
+	c.ended.Go(func() error { return run(term, conf, limit, l, zerolog.Nop()) })
+	t.Cleanup(func() {
+		cancel()
+		if err := c.ended.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	c.channel.Accepts()
+	c.client = x.Dial(c.address)
+	return c
+}
+
+// event words one event of the channel on engines named by the place of their address and its number.
+func (c *controller) event(whole bool, state string, engines ...string) string {
+	c.events++
+	var hosts []string
+	for i, address := range engines {
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%d","dial":"%s","site":"east","class":"std","block":0,"health":"%s",`+
+			`"share":1,"born_ms":0}`, i, address, state))
+	}
+	return fmt.Sprintf(`{"cursor":%d,"nodes":{"whole":%v,"hosts":[%s]}}`, c.events, whole, strings.Join(hosts, ","))
+}
+
+// job asks and waits for the dispatch.
+func (c *controller) job(e *testkit.Engine, id int, class string) {
+	c.client.Job(id, class, 60000, fmt.Sprintf("select * from sales_%d.t", id))
+	e.Hears(1)
+}
+
+func TestJobs(t *testing.T) {
+	x := testkit.New(t)
+	e := x.Listen("engine", ":0")
+	c := begin(x, nil, e.Addr().String())
+	c.client.Send(0, 99, "ping", []any{map[string]string{}})
+	c.client.Answer()
+	c.job(e, 1, "lookup")
+	e.Answers(1, testkit.Ref(1), "data", "chunks=2,spent=820.0,wanted=96", "a\tb\tc\n")
+	e.Hears(1)
+	e.Answers(1, testkit.Ref(1), "page", "at=1", "d\te\tf\n")
+	c.client.Answer()
+
+	c.job(e, 2, "lookup")
+	c.client.Send(2, "abort", []int{2})
+	c.Say("client: abort 2")
+	e.Hears(1)
+	e.Answers(1, testkit.Ref(2), "data", "chunks=1", "too late\t\t\n")
+
+	c.client.Job(3, "odd", 60000, "select 1")
+	c.client.Answer()
+
+	c.job(e, 4, "load") // it may have run
+	e.Answers(1, testkit.Ref(4), "failed", "-", "")
+	c.client.Answer()
+	c.job(e, 5, "load") // it has not
+	e.Answers(1, testkit.Ref(5), "full", "-", "")
+	e.Hears(1)
+	e.Answers(1, testkit.Ref(5), "data", "chunks=1", "")
+	c.client.Answer()
+	c.job(e, 6, "lookup") // may run again
+	e.Answers(1, testkit.Ref(6), "failed", "-", "")
+	e.Hears(1)
+	e.Answers(1, testkit.Ref(6), "data", "chunks=1", "g\th\ti\n")
+	c.client.Answer()
+	c.job(e, 7, "load")
+	e.Cut(1)
+	e.Hears(1)
+	c.client.Answer()
+	c.Check()
+}
+
+// An engine new at an old address gets a connection of its own; one that drains gets nothing new.
+func TestRoster(t *testing.T) {
+	x := testkit.New(t)
+	e := x.Listen("engine", ":0")
+	c := begin(x, nil, e.Addr().String())
+	c.job(e, 1, "lookup")
+	restarted := strings.Replace(c.event(false, "in_service", e.Addr().String()), `"born_ms":0`, `"born_ms":1500`, 1)
+	c.channel.Tells(restarted)
+	e.Answers(1, testkit.Ref(1), "data", "chunks=1", "")
+	c.client.Answer()
+	e.Hears(1) // the old connection has nothing more to do
+	c.job(e, 2, "lookup")
+	c.channel.Tells(c.event(false, "terminating", e.Addr().String()))
+	e.Answers(2, testkit.Ref(2), "data", "chunks=1", "")
+	c.client.Answer()
+	e.Hears(1)
+	c.client.Job(3, "lookup", 60000, "select 1") // held
+	c.channel.Tells(c.event(false, "in_service", e.Addr().String()))
+	e.Hears(1)
+	e.Answers(3, testkit.Ref(3), "data", "chunks=1", "")
+	c.client.Answer()
+	c.Check()
+}
+
+// A job's time is up: the dispatch is given up and the client has its answer.
+func TestTimeUp(t *testing.T) {
+	x := testkit.New(t)
+	e := x.Listen("engine", ":0")
+	c := begin(x, nil, e.Addr().String())
+	c.client.Job(1, "load", 1000, "select 1")
+	e.Hears(2)
+	c.client.Answer()
+	c.Check()
+}
+
+// After the signal jobs still come; what is not done when the gateway must end is answered all the same.
+func TestLeaving(t *testing.T) {
+	x := testkit.New(t)
+	e := x.Listen("engine", ":0")
+	c := begin(x, func(l *limits.Limits) { l.Stay = 0.1 }, e.Addr().String())
+	c.job(e, 1, "load")
+	c.Say("signal")
+	c.term()
+	for ready := true; ready; { // until the gateway has seen it
+		c.client.Send(0, 98, "ping", []any{map[string]string{}})
+		ready = c.client.Pong()
+	}
+	c.job(e, 2, "lookup")
+	e.Answers(1, testkit.Ref(2), "data", "chunks=1", "")
+	c.client.Answer()
+	e.Hears(1) // given up
+	c.client.Answer()
+	c.client.Answer()
+	if err := c.ended.Wait(); err != nil {
+		t.Error(err)
+	}
+	c.Check()
+}
+
+func TestConfig(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	var lines []string
+	whole := `{"name":"n3","listen":"127.0.0.1:9090","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,
+"sockets":1024},"channel":"127.0.0.1:8500","known":{"cursor":1,"cmds":[{"cursor":1}]},"settings":` + deployment + `}`
+	for _, c := range []struct{ name, text string }{
+		{"whole", whole}, {"empty", ""}, {"no JSON", "{"}, {"no settings", `{"listen":":1","channel":":2"}`},
+		{"no address", strings.Replace(whole, "127.0.0.1:8500", "there", 1)},
+		{"no memory", strings.Replace(whole, `"memory_mb":192`, `"memory_mb":1`, 1)},
+		{"no reservation type", strings.Replace(whole, `"classes"`, `"lessons"`, 1)},
+		{"no number for a seed", strings.Replace(whole, "8c1f", "seed", 1)},
+	} {
+		os.WriteFile(file, []byte(c.text), 0o600)
+		got, err := config.Read(file)
+		lines = append(lines, strings.ReplaceAll(fmt.Sprintf("%s: %x %d %v", c.name, got.Seed, len(got.Events), err), file,
+			"FILE"))
+	}
+	_, err := config.Read("")
+	testkit.Check(t, append(lines, fmt.Sprint(err)))
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -159,19 +159,28 @@
 	var jobs, writer errgroup.Group
 	writer.Go(func() error { defer cancel(); return c.writes() })
 	err := c.reads(ctx, &jobs)
+	var rest errgroup.Group
 	switch {
-	case errors.Is(err, errLeaving):
 	case !errors.Is(err, os.ErrDeadlineExceeded) && errors.As(err, new(*net.OpError)),
 		errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		cancel()
 	default:
-		s.Log.Info().Err(err).Str("client", peer.RemoteAddr().String()).Msg("client can't be followed")
+		if !errors.Is(err, errLeaving) {
+			s.Log.Info().Err(err).Str("client", peer.RemoteAddr().String()).Msg("client can't be followed")
+		}
+		peer.SetReadDeadline(time.Time{})
+		rest.Go(func() error { // what is left unread would reset the connection under the answers
+			defer cancel()
+			_, err := io.Copy(io.Discard, peer)
+			return err
+		})
 	}
 	jobs.Wait()
 	close(c.write)
 	writer.Wait()
 	stop()
 	peer.Close()
+	rest.Wait()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -184,10 +193,13 @@
 			return errLeaving
 		}
 		if _, err = in.Peek(1); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && !c.idle() {
-				continue
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				return err
 			}
-			return err
+			if c.idle() {
+				return errLeaving
+			}
+			continue
 		}
 		if !c.until(c.Limits.ClientRead, true) {
 			return errLeaving
@@ -342,9 +354,11 @@
 	size, err := r.want(kindText)
 	if errors.Is(err, errShape) {
 		f.bad, err = "(statement)", nil
+	} else if err == nil && size > int64(r.left) {
+		err = errLong
 	} else if err == nil {
 		statement = c.Pool.NewChain()
-		if err = statement.Fill(r, int(min(size, math.MaxInt32))); errors.Is(err, buffer.ErrSpent) {
+		if err = statement.Fill(r, int(size)); errors.Is(err, buffer.ErrSpent) {
 			f.full = true
 			err = r.rest(kindText, size-int64(statement.Size()))
 		}
--- /dev/null
+++ b/internal/client/client_test.go
@@ -0,0 +1,199 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"copperrock.example/copperrock/internal/buffer"
+	"copperrock.example/copperrock/internal/limits"
+	"copperrock.example/copperrock/internal/testkit"
+)
+
+// gate answers each job with what it was told; the statement says how.
+type gate struct {
+	left    chan string
+	release chan struct{}
+}
+
+func (g gate) Ready() bool { return true }
+
+func (g gate) Serve(ctx context.Context, to Answer, class, ref string, allow, work, memory float64,
+	statement *buffer.Chain) {
+	text := string(statement.Bytes())
+	switch {
+	case text == "wait":
+		select {
+		case <-ctx.Done():
+			g.left <- ref
+		case <-g.release:
+			to.Failed("released")
+		}
+	case text == "throttle":
+		to.Throttled(1.5)
+	case len(text) > 100:
+		to.Failed(fmt.Sprintf("%s %s %g %g %g %d bytes", class, ref, allow, work, memory, len(text)))
+	default:
+		to.Failed(fmt.Sprintf("%s %s %g %g %g %s", class, ref, allow, work, memory, text))
+	}
+}
+
+// serve starts a server; end stops it and checks that every buffer came back.
+func serve(t *testing.T, change func(*limits.Limits)) (x *testkit.Trace, g gate, s *Server, address string) {
+	x = testkit.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lim := limits.For(64, 256)
+	if change != nil {
+		change(&lim)
+	}
+	g = gate{make(chan string, 100), make(chan struct{})}
+	s = &Server{Gate: g, Limits: lim, Pool: buffer.NewPool(lim.Buffer, lim.Buffers), Log: zerolog.Nop()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return s.Run(ctx, l) })
+	t.Cleanup(func() {
+		l.Close()
+		cancel()
+		group.Wait()
+		if n := s.Pool.Lent(); n != 0 {
+			t.Errorf("%d buffers are still lent", n)
+		}
+	})
+	return x, g, s, l.Addr().String()
+}
+
+// Every form of a value that the format allows; a statement over several buffers.
+func TestForms(t *testing.T) {
+	x, _, _, address := serve(t, nil)
+	c := x.Dial(address)
+	c.Job(1, "report", 1500, "select 1")
+	c.Answer()
+	c.Job(2, "report", 1500, "throttle")
+	c.Answer()
+	c.Job(3, "report", 1500, strings.Repeat("x", 20000))
+	c.Answer()
+	c.Send(0, 4, "ping", []any{map[string]string{}})
+	c.Answer()
+	id, ref := "a3726566", "b0"+hex.EncodeToString([]byte(testkit.Ref(5)))
+	allow, body := "a5616c6c6f77"+"a3393030", "a0"
+	for _, form := range []string{
+		"94 00 05 a3727074 92 82" + id + ref + allow + body,
+		"dc0004 cc00 cc05 d903727074 dd00000002 de0002 d903726566 d910" + ref[2:] + "da0005616c6c6f77 db00000003393030 c400",
+		"dd00000004 d000 cd0005 da0003727074 dc0002 df00000002 c403726566 c50010" + ref[2:] + "c605616c6c6f77",
+	} {
+		form = strings.Replace(form, "d903726566", "d903726566", 1)
+		form = strings.Replace(form, "c605616c6c6f77", "c600000005616c6c6f77 c403393030 c600000000", 1)
+		c.Write(testkit.Bytes(form))
+		c.Answer()
+	}
+	c.Write(testkit.Bytes("94 d10000 ce00000005 a3727074 93 83" + id + ref + allow + "a178 c0" + body +
+		"94 cb0000000000000000 c3 81a161c2 d501ff00 c7020101ff"))
+	c.Answer() // a further argument of all the other kinds
+	x.Check()
+}
+
+// A job that can't be understood gets an error; what can't be followed ends its connection only, and jobs taken
+// before it are answered.
+func TestMalformed(t *testing.T) {
+	x, g, _, address := serve(t, nil)
+	bystander := x.Dial(address)
+	bystander.Job(1, "report", 1500, "wait")
+	for _, c := range []struct{ name, message string }{
+		{"fields are no map", "94 00 07 a172 92 01 a0"},
+		{"fields are missing", "94 00 07 a172 92 80 a0"},
+		{"no arguments", "94 00 07 a172 90"},
+		{"arguments are no list", "94 00 07 a172 c0"},
+		{"method is no text", "94 00 07 01 92 80 a0"},
+		{"allow is no number", "94 00 07 a172 92 81a5616c6c6f77a178 a0"},
+		{"a field is no text", "94 00 07 a172 92 81a372656601 a0"},
+		{"no list", "01"},
+		{"unknown kind of message", "94 05 07 a172 90"},
+		{"message id is text", "94 00 a0 a172 90"},
+		{"no value begins so", "94 00 07 a172 92 c1"},
+		{"a text past the limit", "94 00 07 a172 92 80 db7fffffff 00"},
+		{"a list without end", "94 00 07 a172 92 80 a0" + "93 00 07 ddffffffff"},
+		{"nested too deep", "94 00 07 a172 93 80 a0" + strings.Repeat("91", 100)},
+	} {
+		x.Say("%s", c.name)
+		peer := x.Dial(address)
+		peer.Write(testkit.Bytes(c.message))
+		peer.Answer()
+		peer.Close()
+	}
+	twice := x.Dial(address)
+	twice.Job(2, "report", 1500, "wait")
+	twice.Job(2, "report", 1500, "wait")
+	twice.Close()
+	x.Say("withdrawn: %s", <-g.left)
+	bystander.Send(2, "abort", []int{9, 1})
+	x.Say("withdrawn: %s", <-g.left)
+	bystander.Job(3, "report", 1500, "still here")
+	bystander.Answer()
+	x.Check()
+}
+
+// At the limit of connections an idle one goes, and accepting waits while none is.
+func TestConnectionsAtTheLimit(t *testing.T) {
+	x, g, _, address := serve(t, func(l *limits.Limits) { l.ClientConns = 2 })
+	first, second := x.Dial(address), x.Dial(address)
+	first.Job(1, "report", 1500, "wait")
+	second.Job(2, "report", 1500, "done")
+	second.Answer()
+	third := x.Dial(address)
+	third.Job(3, "report", 1500, "in the idle one's place")
+	third.Answer()
+	second.Answer()
+	third.Job(4, "report", 1500, "wait")
+	fourth := x.Dial(address)
+	fourth.Job(5, "report", 1500, "after the first has left")
+	first.Close()
+	x.Say("withdrawn: %s", <-g.left)
+	fourth.Answer()
+	x.Check()
+}
+
+// A server that leaves takes nothing more but answers what it has.
+func TestLeave(t *testing.T) {
+	x, g, s, address := serve(t, nil)
+	c := x.Dial(address)
+	c.Job(1, "report", 1500, "wait")
+	c.Job(2, "report", 1500, "taken")
+	c.Answer()
+	s.Leave()
+	c.Job(3, "report", 1500, "not taken")
+	close(g.release)
+	c.Answer()
+	c.Answer()
+	x.Check()
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add(testkit.Bytes("94 00 07 a172 92 81a5616c6c6f77a178 c403616263"))
+	f.Add(testkit.Bytes("93 02 a561626f7274 9107"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c := &conn{Server: &Server{Gate: gate{make(chan string, 100), nil}, Limits: limits.For(64, 256),
+			Pool: buffer.NewPool(64, 100)}, open: map[uint32]*reply{}, write: make(chan answer, 100)}
+		c.peer, _ = net.Pipe()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		var jobs errgroup.Group
+		c.message(ctx, &reader{in: bufio.NewReader(iotest.OneByteReader(bytes.NewReader(text))), left: 1 << 12,
+			depth: 8}, &jobs)
+		jobs.Wait()
+		if n := c.Pool.Lent(); n != 0 {
+			t.Errorf("%d buffers are still lent", n)
+		}
+	})
+}
--- a/internal/client/msgpack.go
+++ b/internal/client/msgpack.go
@@ -12,6 +12,8 @@
 // errShape tells of a value that is whole but not what belongs there; the message can still be passed over.
 var errShape = errors.New("a value of another type")
 
+var errLong = errors.New("message too long")
+
 // reader takes MessagePack values from a stream. Nothing is allocated on the word of a length.
 type reader struct {
 	in    *bufio.Reader
@@ -21,7 +23,7 @@
 
 func (r *reader) Read(b []byte) (int, error) {
 	if len(b) > r.left {
-		return 0, errors.New("message too long")
+		return 0, errLong
 	}
 	n, err := r.in.Read(b)
 	r.left -= n
@@ -107,7 +109,7 @@
 	switch kind {
 	case kindFloat, kindText, kindOther:
 		if n > int64(r.left) {
-			return errors.New("message too long")
+			return errLong
 		}
 		got, err := r.in.Discard(int(n))
 		r.left -= got
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -95,6 +95,7 @@
 		for _, c := range e.conns {
 			c.closeIfIdle()
 		}
+		e.Log.Warn().Str("engine", e.Address).Msg("no descriptor left for an engine")
 		return nil
 	}
 	c := newConn(e)
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,226 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"copperrock.example/copperrock/brain"
+	"copperrock.example/copperrock/internal/buffer"
+	"copperrock.example/copperrock/internal/limits"
+	"copperrock.example/copperrock/internal/settings"
+	"copperrock.example/copperrock/internal/testkit"
+)
+
+var statuses = []string{"done", "failed", "full", "timed out", "no connection", "reset", "called off", "moot"}
+
+// rig is one engine process and what it is asked from here.
+type rig struct {
+	*testkit.Trace
+	*Engine
+	far  *testkit.Engine
+	text *buffer.Chain
+	end  context.CancelFunc
+}
+
+func start(t *testing.T) *rig {
+	x := testkit.New(t)
+	r := &rig{Trace: x, far: x.Listen("engine", ":0")}
+	lim := limits.For(64, 256)
+	lim.Probe = 3600 // no time-out but those that a test asks for
+	ctx, cancel := context.WithCancel(context.Background())
+	r.Engine = &Engine{Address: r.far.Addr().String(), Limits: lim, Pool: buffer.NewPool(lim.Buffer, lim.Buffers),
+		Settings: &settings.Settings{Brain: brain.Settings{Priorities: true}, Streams: 2, Idle: 3600, Connect: 10},
+		Log:      zerolog.Nop(), Group: &errgroup.Group{}, Context: ctx, Slots: make(chan struct{}, 16)}
+	r.text = r.Pool.NewChain()
+	r.text.Fill(strings.NewReader("select 1"), 8)
+	r.end = func() { cancel(); r.Group.Wait() }
+	t.Cleanup(func() {
+		r.end()
+		r.text.Free()
+		if n := r.Pool.Lent(); n != 0 {
+			t.Errorf("%d buffers are still lent", n)
+		}
+	})
+	return r
+}
+
+func (r *rig) ask(id int) *Call {
+	return r.Ask(testkit.Ref(id), "report", r.text, time.Now().Add(time.Hour), 96.2, 3)
+}
+
+// ends waits for the dispatch, fetches its pages and says how it ended.
+func (r *rig) ends(k *Call) {
+	status, whole, _ := k.Wait(context.Background())
+	if !whole {
+		k.Next()
+		status, _, _ = k.Wait(context.Background())
+	}
+	r.Say("%s, work %g memory %g", statuses[status], k.Work, k.Memory)
+	if status == brain.Done {
+		rows := k.Rows()
+		r.Say("%q", rows.Bytes())
+		rows.Free()
+	}
+	k.Free()
+}
+
+// givesUp gives the dispatch up.
+func (r *rig) givesUp(k *Call) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	status, _, ran := k.Wait(ctx)
+	r.Say("%s, may have run %v", statuses[status], ran)
+	k.Free()
+}
+
+func TestPages(t *testing.T) {
+	r := start(t)
+	k := r.ask(1)
+	r.far.Hears(1)
+	k.Prefer(1)
+	k.Prefer(1) // nothing new
+	r.far.Hears(1)
+	r.far.Answers(1, testkit.Ref(1), "data", "chunks=3,spent=820.5,wanted=96", "a\tb\tc\n")
+	status, whole, _ := k.Wait(context.Background())
+	r.Say("%s, whole %v", statuses[status], whole)
+	k.Next()
+	r.far.Hears(2)
+	r.far.Answers(1, testkit.Ref(1), "page", "at=2", "") // in any order
+	r.far.Answers(1, testkit.Ref(1), "page", "at=1", "d\te\tf\ng\th\ti\n")
+	r.ends(k)
+	again := r.ask(2) // on the same connection, which outlives the dispatch that opened it
+	r.far.Hears(1)
+	r.far.Answers(1, testkit.Ref(2), "data", "chunks=1", "")
+	r.ends(again)
+	r.Check()
+}
+
+// Each end has the status that tells whether the dispatch may have run.
+func TestEnds(t *testing.T) {
+	r := start(t)
+	for n, c := range []struct{ word, fields, body string }{
+		{"full", "-", ""}, {"failed", "-", ""}, {"moot", "-", ""},
+		{"data", "chunks=1,spent=x,wanted=-1", "no whole row"},
+		{"data", "chunks=0", ""}, {"data", "chunks=65", ""}, {"page", "at=1", ""}, {"odd", "-", ""},
+		{"data", "chunks=1", strings.Repeat("x", 6001)},
+	} {
+		k := r.ask(n)
+		r.far.Hears(1)
+		conn := max(n-3, 1) // what can't be followed ends the connection
+		r.far.Answers(conn, testkit.Ref(n), c.word, c.fields, c.body)
+		r.Say("%s %s", c.word, c.fields)
+		r.ends(k)
+		if n >= 3 {
+			r.far.Hears(1)
+		}
+	}
+	k := r.ask(1)
+	r.far.Hears(1)
+	r.far.Answers(6, testkit.Ref(1), "data", "chunks=2", "")
+	r.far.Cut(6)
+	r.ends(k)
+	r.far.Hears(1)
+	r.far.Close()
+	r.ends(r.ask(2))
+	r.Check()
+}
+
+// A late answer of a dispatch given up is not taken for a later one of the same job.
+func TestGivenUp(t *testing.T) {
+	r := start(t)
+	k, other := r.ask(1), r.ask(2)
+	r.far.Hears(2)
+	r.givesUp(k)
+	r.far.Hears(1)
+	r.far.Answers(1, testkit.Ref(2), "data", "chunks=2", "")
+	status, whole, _ := other.Wait(context.Background())
+	r.Say("%s, whole %v", statuses[status], whole)
+	r.givesUp(other) // its pages are not wanted any more
+	r.far.Hears(1)
+	k = r.ask(1)
+	r.far.Hears(1)
+	r.far.Answers(1, testkit.Ref(1), "data", "chunks=1", "late\t\t\n")
+	r.far.Answers(2, testkit.Ref(1), "data", "chunks=1", "in time\t\t\n")
+	r.ends(k)
+	r.Check()
+}
+
+// What has not gone when the engine drains has never run; what is out goes on, and nothing new is taken.
+func TestStop(t *testing.T) {
+	r := start(t)
+	out := r.ask(1)
+	r.far.Hears(1)
+	r.Engine.mu.Lock()
+	c := r.Engine.conns[0]
+	r.Engine.mu.Unlock()
+	held := &Call{ref: testkit.Ref(2), statement: r.text, until: out.until, step: make(chan struct{}, 2), conn: c}
+	c.mu.Lock()
+	c.calls[held.ref] = held // as while its connection comes up
+	c.mu.Unlock()
+	r.Stop()
+	r.ends(held)
+	r.ends(r.ask(3))
+	r.far.Answers(1, testkit.Ref(1), "data", "chunks=1", "")
+	r.ends(out)
+	r.far.Hears(1)
+	r.Check()
+}
+
+func TestProbes(t *testing.T) {
+	r := start(t)
+	got := make(chan settings.Load, 1)
+	ask := func() { r.Probe(func(load settings.Load, ok bool) { got <- load }) }
+	ask()
+	r.far.Hears(1)
+	r.far.Answers(1, "probe1", "well", "load=busy_reqs:7;x0:0.61;odd:1;cpu_share:x", "")
+	r.Say("%v", <-got)
+	ask()
+	r.far.Hears(1)
+	r.far.Cut(1)
+	r.Say("%v", <-got)
+	r.Check()
+}
+
+func TestMalformed(t *testing.T) {
+	c := &conn{Engine: &Engine{Limits: limits.For(64, 256), Pool: buffer.NewPool(64, 100)}}
+	var lines []string
+	for _, text := range []string{
+		"", "x", "*4\r\n", "*4\n$1\r\na\r\n", "*-1\r\n", "*9999999999\r\n", "*2\r\n", "*4\r\n$-1\r\n",
+		"*4\r\n$1025\r\n", "*4\r\n$1\r\nab", "*4\r\n$1\r\na\r\n$4\r\nfull\r\n$1\r\n-\r\n$6001\r\n",
+		"*4\r\n$1\r\na\r\n$4\r\nfull\r\n$1\r\n-\r\n$2\r\nx", "*3\r\n$1\r\na\r\n$4\r\nfull\r\n$1\r\n-\r\n",
+		"*4\r\n$1\r\na\r\n$4\r\nfull\r\n$1\r\n-\r\n$0\r\n\r\n",
+	} {
+		err := "taken"
+		if e := c.answer(bufio.NewReader(iotest.OneByteReader(strings.NewReader(text)))); e != nil {
+			err = strings.ReplaceAll(e.Error(), "\n", "; ")
+		}
+		lines = append(lines, strings.NewReplacer("\r", "", "\n", " ").Replace(text)+" -> "+err)
+	}
+	testkit.Check(t, lines)
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add("*4\r\n$1\r\na\r\n$4\r\ndata\r\n$8\r\nchunks=2\r\n$6\r\na\tb\tc\n\r\n*4\r\n$1\r\na\r\n$4\r\npage\r\n$4\r\nat=1\r\n$0\r\n\r\n")
+	f.Add("*3\r\n$1\r\np\r\n$4\r\nwell\r\n$9\r\nload=a:7;\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		e := &Engine{Limits: limits.For(64, 256), Pool: buffer.NewPool(64, 200), Settings: &settings.Settings{}}
+		c := newConn(e)
+		k := &Call{ref: "a", conn: c, state: sent, step: make(chan struct{}, 2)}
+		c.calls["a"] = k
+		in := bufio.NewReader(strings.NewReader(text))
+		for c.answer(in) == nil {
+		}
+		c.idle.Stop()
+		k.Free()
+		if n := e.Pool.Lent(); n != 0 {
+			t.Errorf("%d buffers are still lent", n)
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,8 @@
 	most := g.settings.Brain.MostDispatches
 	j := &job{priority: 1, steps: make(chan step, 4*most+4)}
 	tables := statement.Tables(text.Bytes())
-	giveUp := g.now() + allow - g.limits.Margin
+	margin := min(g.limits.Margin, allow*g.limits.MarginShare)
+	giveUp := g.now() + allow - margin
 	taken := false
 	g.enter(func(now float64) {
 		if taken = len(g.jobs) < g.limits.Jobs; taken {
@@ -175,6 +176,7 @@
 		}
 	})
 	if !taken {
+		g.log.Warn().Int("jobs", g.limits.Jobs).Msg("too many open jobs")
 		to.Throttled(0)
 		return
 	}
@@ -183,13 +185,13 @@
 		if !over {
 			over = true
 			answer()
-			if by := g.now() - giveUp - g.limits.Margin; by > 0 {
+			if by := g.now() - giveUp - margin; by > 0 {
 				g.log.Warn().Str("ref", ref).Float64("by", by).Msg("answered after its time")
 			}
 		}
 	}
 	until := g.at(giveUp)
-	late := time.NewTimer(time.Until(until) + limits.Duration(g.limits.Margin/2))
+	late := time.NewTimer(time.Until(until) + limits.Duration(margin/2))
 	defer late.Stop()
 	type dispatched struct {
 		*engine.Call
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -6,7 +6,8 @@
 
 // Limits bounds the controller.
 type Limits struct {
-	Memory int64 // for Go's own limit, in bytes
+	Memory  int64 // for Go's own limit, in bytes
+	Garbage int   // heap growth between collections, in percent
 
 	// Descriptors.
 	ClientConns int // connections from clients
@@ -33,7 +34,8 @@
 	LogBurst uint32 // lines a second
 
 	// Times.
-	Margin       float64 // before a job's time is up, for the way back
+	Margin       float64 // before a job's time is up, for the way back and for pauses
+	MarginShare  float64 // of the job's time, the most that the margin takes
 	ClientWrite  float64 // for a client to take what is written
 	ClientRead   float64 // for the rest of a message begun
 	ClientIdle   float64 // without an open job
@@ -52,7 +54,8 @@
 func For(memoryMB, sockets int) Limits {
 	memory := int64(memoryMB) << 20
 	return Limits{
-		Memory: memory * 7 / 10,
+		Memory:  memory * 7 / 10,
+		Garbage: 400, // the live heap is small; a collection delays answers
 
 		ClientConns: max(sockets*4/10, 4), // clients hold a third at most; the rest is for closes that cross
 		EngineConns: max(sockets*4/10, 4), // a fifth stays spare: listener, channel, runtime
@@ -75,7 +78,8 @@
 		Engines:  10000,
 		LogBurst: 50,
 
-		Margin:       0.05, // a pause of this process that an answer survives
+		Margin:       0.15, // three times the longest ways through seen in a hundred
+		MarginShare:  0.1,
 		ClientWrite:  2,
 		ClientRead:   10,
 		ClientIdle:   60,
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,92 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"copperrock.example/copperrock/internal/limits"
+	"copperrock.example/copperrock/internal/testkit"
+)
+
+// list says what it is told, and tells the test when a message is whole.
+type list struct {
+	*testkit.Trace
+	whole chan bool
+}
+
+func (l list) RosterBegins(whole bool) { l.Say("  whole %v", whole) }
+
+func (l list) Listed(engine, address, zone, kind string, cell int, state string, born float64) {
+	l.Say("  %s at %s, %s %s %d, %s, born %g", engine, address, zone, kind, cell, state, born)
+}
+
+func (l list) RosterEnds() { l.whole <- true }
+
+func event(n int, whole bool, state string) string {
+	return fmt.Sprintf(`{"cursor":%d,"nodes":{"seq":%d,"whole":%v,"hosts":[{"host":"s-1","dial":"10.1.0.9:9090",`+
+		`"site":"east","class":"std","block":2,"health":"%s","share":4,"born_ms":1500}]}}`, n, n, whole, state)
+}
+
+// Gaps, repeats, bad lines, closes and silence all end in a new connection that asks for what is missing.
+func TestChannel(t *testing.T) {
+	x := testkit.New(t)
+	far := x.Channel()
+	l := list{x, make(chan bool, 10)}
+	lim := limits.For(64, 256)
+	lim.ChannelRetry, lim.ChannelQuiet = 0, 3600
+	r := &Roster{Address: far.Addr().String(), Gate: l, Limits: lim, Log: zerolog.Nop()}
+	if err := r.Known(2, []json.RawMessage{json.RawMessage(event(1, true, "in_service")),
+		json.RawMessage(event(2, false, "terminating"))}); err != nil {
+		t.Fatal(err)
+	}
+	<-l.whole
+	<-l.whole
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return r.Run(ctx) })
+	far.Accepts()
+	far.Tells("2")
+	far.Tells(event(2, false, "repeated"))
+	far.Tells(event(3, false, "terminated"))
+	<-l.whole
+	far.Tells(event(5, false, "after a gap"))
+	far.Accepts()
+	far.Tells("4") // a tick past what is known
+	far.Accepts()
+	far.Tells(`{"cursor":4,"other":{}}`) // an event of another kind
+	far.Tells(`{"cursor":5,"nodes":{"hosts":[{"host":7}]}}`)
+	far.Accepts()
+	far.Tells(event(5, true, "in_service")) // a whole list bears a gap
+	<-l.whole
+	far.Tells("nonsense")
+	far.Accepts()
+	far.Closes()
+	far.Accepts()
+	cancel()
+	group.Wait()
+
+	lim.ChannelQuiet = 0.001
+	r.Limits = lim
+	ctx, cancel = context.WithCancel(context.Background())
+	group.Go(func() error { return r.Run(ctx) })
+	x.Say("silence")
+	far.Accepts()
+	far.Accepts()
+	cancel()
+	group.Wait()
+	x.Check()
+}
+
+func FuzzEvent(f *testing.F) {
+	f.Add([]byte(event(1, true, "in_service")))
+	f.Add([]byte(`{"cursor":1,"nodes":null}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		l := list{testkit.New(t), make(chan bool, 1)}
+		(&Roster{Gate: l, Limits: limits.For(64, 256)}).event(line)
+	})
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,75 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Both forms give the module and the sockets the same.
+func TestBothFormsAreEqual(t *testing.T) {
+	lines := `allowed.cancel=true
+allowed.conn-idle=15.0
+allowed.connect-timeout=0.25
+allowed.max-open=20000
+allowed.max-retry-after=2.0
+allowed.may-duplicate=true
+allowed.probing=true
+allowed.retry-after=true
+allowed.streams-per-conn=32
+allowed.try-limit=3
+areas=north_room,south-room
+classes.count=2
+classes.0.aim-stretch=1.5
+classes.0.give-up=2.5
+classes.0.name=lookup
+classes.0.objective=0.5
+classes.0.repeat=pure
+classes.0.stays-in=north_room
+classes.0.worth=1.0
+classes.1.give-up=25.0
+classes.1.fifo-by-key=true
+classes.1.group=cell
+classes.1.host-types-open=
+classes.1.name=load
+classes.1.repeat=token
+contract.stop-sending-within=1.0
+family-info.dop=1,2
+family-info.grants=true
+family-info.kind-cores=16,8
+family-info.ram-of-kind-mb=32768.0,16384.0
+family-info.writes-tables=false,true
+group-size=3
+host-types=std-16,std-8
+index=2
+report.fields=busy_reqs,x0
+tenants.count=1
+tenants.0.quota-rps=107.5
+unknown.key=9
+zone=1
+`
+	nested := `{"allowed":{"cancel":true,"conn-idle":15.0,"connect-timeout":0.25,"max-open":20000,"max-retry-after":2.0,
+"may-duplicate":true,"probing":true,"retry-after":true,"streams-per-conn":32,"try-limit":3},
+"areas":["north room","south-room"],"classes":[{"aim-stretch":1.5,"give-up":2.5,"name":"lookup","objective":0.5,
+"repeat":"pure","stays-in":["north room"],"worth":1.0,"window":null},{"give-up":25.0,"fifo-by-key":true,
+"group":"cell","host-types-open":[],"name":"load","repeat":"token"}],"contract":{"stop-sending-within":1.0},
+"family-info":{"dop":[1,2],"grants":true,"kind-cores":[16,8],"ram-of-kind-mb":[32768.0,16384.0],
+"writes-tables":[false,true]},"group-size":3,"host-types":["std-16","std-8"],"index":2,
+"report":{"fields":["busy_reqs","x0"]},"tenants":[{"quota-rps":107.5}],"unknown":{"key":9},"zone":1}`
+	got, err := JSON([]byte(nested))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Lines(lines)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	if len(want.Brain.Classes) != 2 || want.Brain.Tenants[0] != 107.5 || want.JobTimeouts[1] != 25 {
+		t.Errorf("not decoded: %+v", want)
+	}
+}
+
+func FuzzJSON(f *testing.F) {
+	f.Add([]byte(`{"classes":[{"name":"a"},3],"areas":[],"index":1e99,"family-info":{"dop":["x",null]}}`))
+	f.Fuzz(func(t *testing.T, text []byte) { JSON(text) })
+}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"bytes"
 	"encoding/hex"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 	"regexp"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,7 +22,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-var update = flag.Bool("update", false, "write the traces anew")
+// update writes the traces anew; it is asked for by UPDATE=1, which goes through all packages at once.
+var update = os.Getenv("UPDATE") != ""
 
 // patience ends a test that hangs; no verdict rests on it.
 const patience = 10 * time.Second
@@ -32,7 +33,8 @@
 	t.Helper()
 	file := filepath.Join("testdata", strings.TrimPrefix(t.Name(), "Test")+".trace")
 	got := strings.Join(lines, "\n") + "\n"
-	if *update {
+	if update {
+		os.Mkdir("testdata", 0o755)
 		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
 			t.Fatal(err)
 		}
@@ -152,7 +154,19 @@
 		c.Say("client: %s", ending(err))
 		return
 	}
-	c.Say("client: answer %q", answer)
+	if done, ok := answer[3].([]any); ok {
+		if rows, ok := done[0].([]byte); ok {
+			done[0] = fmt.Sprintf("%q", rows)
+		}
+	}
+	c.Say("client: answer %v", answer)
+}
+
+// Pong reads the answer to a ping.
+func (c *Client) Pong() bool {
+	var answer []any
+	c.must(c.in.Decode(&answer))
+	return answer[3].([]any)[0].(bool)
 }
 
 // Engine is an engine at one address.
@@ -161,6 +175,7 @@
 	net.Listener
 	name  string
 	said  chan string
+	mu    sync.Mutex
 	peers []net.Conn
 }
 
@@ -170,22 +185,34 @@
 	l, err := net.Listen("tcp", "127.0.0.1"+address)
 	x.must(err)
 	e := &Engine{Trace: x, Listener: l, name: name, said: make(chan string, 100)}
-	x.T.Cleanup(func() { l.Close() })
+	x.T.Cleanup(func() {
+		l.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, peer := range e.peers {
+			peer.Close()
+		}
+	})
 	go func() {
 		for n := 1; ; n++ {
 			peer, err := l.Accept()
 			if err != nil {
 				return
 			}
+			e.mu.Lock()
 			e.peers = append(e.peers, peer)
-			x.T.Cleanup(func() { peer.Close() })
+			e.mu.Unlock()
 			go e.hear(n, peer)
 		}
 	}()
 	return e
 }
 
-var wait = regexp.MustCompile(`w=\d+`)
+// What differs from run to run.
+var (
+	wait = regexp.MustCompile(`w=\d+`)
+	port = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+)
 
 func (e *Engine) hear(n int, peer net.Conn) {
 	in := bufio.NewReader(peer)
@@ -244,15 +271,21 @@
 // Says writes bytes as they are.
 func (e *Engine) Says(n int, text string) {
 	e.T.Helper()
-	_, err := io.WriteString(e.peers[n-1], text)
+	_, err := io.WriteString(e.peer(n), text)
 	e.must(err)
 }
 
+func (e *Engine) peer(n int) net.Conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers[n-1]
+}
+
 // Cut resets its n-th connection.
 func (e *Engine) Cut(n int) {
 	e.Say("%s cuts %d off", e.name, n)
-	e.peers[n-1].(*net.TCPConn).SetLinger(0)
-	e.peers[n-1].Close()
+	e.peer(n).(*net.TCPConn).SetLinger(0)
+	e.peer(n).Close()
 }
 
 // Channel is the command channel.
@@ -285,7 +318,7 @@
 // Tells writes a line.
 func (c *Channel) Tells(line string) {
 	c.T.Helper()
-	c.Say("channel tells %s", line)
+	c.Say("channel tells %s", port.ReplaceAllString(line, "127.0.0.1:_"))
 	_, err := io.WriteString(c.peer, line+"\n")
 	c.must(err)
 }
