--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"time"
@@ -287,6 +288,12 @@
 	jobs.Go(func() error {
 		defer statement.Free()
 		defer to.close()
+		defer func() {
+			if p := recover(); p != nil {
+				c.Log.Error().Str("panic", fmt.Sprint(p)).Bytes("stack", debug.Stack()).Msg("job failed")
+				to.Failed("internal error")
+			}
+		}()
 		c.Gate.Serve(ctx, to, method, f.ref, f.allow, f.work, f.memory, statement)
 		return nil
 	})
@@ -452,6 +459,7 @@
 	*conn
 	id    uint32
 	leave context.CancelFunc
+	done  bool // answered
 }
 
 func (a *reply) head() []byte { return putInt([]byte{0x94, 1}, int64(a.id)) }
@@ -483,6 +491,12 @@
 
 func (a *reply) final(w answer) {
 	a.mu.Lock()
+	if a.done {
+		a.mu.Unlock()
+		w.rows.Free()
+		return
+	}
+	a.done = true
 	w.job = a.open[a.id] == a
 	if w.job {
 		delete(a.open, a.id)
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -291,7 +292,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case l := <-c.write:
-			c.peer.SetWriteDeadline(time.Now().Add(limits.Duration(c.Limits.EngineWrite)))
+			// What waits longer than a drain's grace must not go any more.
+			patience := min(c.Limits.EngineWrite, cmp.Or(c.Settings.Drain, c.Limits.EngineWrite))
+			c.peer.SetWriteDeadline(time.Now().Add(limits.Duration(patience)))
 			for more := true; more; {
 				c.put1(out, l)
 				select {
