--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -252,7 +252,9 @@
 		writer.Go(func() error { defer peer.Close(); return c.writes(ctx) })
 		err = c.reads(bufio.NewReaderSize(peer, c.Limits.Buffer))
 		cancel()
-		err = errors.Join(writer.Wait(), err)
+		if failed := writer.Wait(); !errors.Is(failed, context.Canceled) {
+			err = failed // what the reader saw follows from it
+		}
 		stop()
 	}
 	c.mu.Lock()
