--- a/cmd/copperrock/main.go
+++ b/cmd/copperrock/main.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"slices"
 	"syscall"
@@ -89,7 +90,8 @@
 		cancel()
 		return nil
 	})
-	log.Info().Str("listen", c.Listen).Int("memory_mb", c.MemoryMB).Int("sockets", c.Sockets).Msg("serving")
+	log.Info().Str("listen", c.Listen).Int("memory_mb", c.MemoryMB).Int("sockets", c.Sockets).
+		Int("processors", runtime.GOMAXPROCS(0)).Msg("serving")
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -216,6 +216,14 @@
 	return true, true
 }
 
+func (c *conn) holdBack(k *Call) {
+	c.lock()
+	defer c.unlock()
+	if k.state == waiting {
+		k.end(brain.Moot)
+	}
+}
+
 func (c *conn) next(k *Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -160,6 +160,9 @@
 // Next asks for all further pages.
 func (k *Call) Next() { k.conn.next(k) }
 
+// HoldBack keeps the dispatch from going out if nothing of it has gone yet.
+func (k *Call) HoldBack() { k.conn.holdBack(k) }
+
 // Prefer changes the priority of a dispatch that is out.
 func (k *Call) Prefer(priority int) { k.conn.prefer(k, priority) }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -160,10 +160,17 @@
 	r.Engine.mu.Lock()
 	c := r.Engine.conns[0]
 	r.Engine.mu.Unlock()
-	held := &Call{ref: testkit.Ref(2), statement: r.text, until: out.until, step: make(chan struct{}, 2), conn: c}
-	c.mu.Lock()
-	c.calls[held.ref] = held // as while its connection comes up
-	c.mu.Unlock()
+	hold := func(id int) *Call { // as while its connection comes up
+		k := &Call{ref: testkit.Ref(id), statement: r.text, until: out.until, step: make(chan struct{}, 2), conn: c}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.calls[k.ref] = k
+		return k
+	}
+	over, held := hold(2), hold(4)
+	over.HoldBack()
+	out.HoldBack() // too late
+	r.ends(over)
 	r.Stop()
 	r.ends(held)
 	r.ends(r.ask(3))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,7 +65,6 @@
 	grant    float64
 	sent     int // dispatches decided
 	out      int // without an outcome
-	over     bool
 }
 
 // step is one decision on a job.
@@ -180,10 +179,18 @@
 		to.Throttled(0)
 		return
 	}
+	type dispatched struct {
+		*engine.Call
+		giveUp context.CancelFunc
+	}
+	calls := make([]dispatched, 0, most)
 	over := false
-	end := func(answer func()) { // the one final answer
+	end := func(answer func()) { // the one final answer; nothing goes out after it
 		if !over {
 			over = true
+			for _, call := range calls {
+				call.HoldBack()
+			}
 			answer()
 			if by := g.now() - giveUp - margin; by > 0 {
 				g.log.Warn().Str("ref", ref).Float64("by", by).Msg("answered after its time")
@@ -193,11 +200,6 @@
 	until := g.at(giveUp)
 	late := time.NewTimer(time.Until(until) + limits.Duration(margin/2))
 	defer late.Stop()
-	type dispatched struct {
-		*engine.Call
-		giveUp context.CancelFunc
-	}
-	calls := make([]dispatched, 0, most)
 	outcomes := make(chan func(), most)
 	for gone := left.Done(); !g.closed(j, over); {
 		select {
@@ -217,11 +219,11 @@
 					call.Prefer(s.priority)
 				}
 			case dispatch:
-				ctx, cancel := context.WithDeadline(g.ctx, until)
-				defer cancel()
 				if over { // meanwhile
-					cancel()
+					s.process = gone()
 				}
+				ctx, cancel := context.WithDeadline(g.ctx, until)
+				defer cancel()
 				// Dispatched.
 				began := g.now()
 				call := s.process.Ask(ref, class, text, until, s.grant, s.priority)
@@ -367,14 +369,20 @@
 	}
 	process := e.process
 	if process == nil {
-		process = &engine.Engine{}
-		process.Stop()
+		process = gone()
 	}
 	g.step(id, step{do: dispatch, number: j.sent, process: process, grant: j.grant, priority: j.priority})
 	j.sent++
 	j.out++
 }
 
+// gone is a process that takes nothing, so that what is sent to it has never run.
+func gone() *engine.Engine {
+	e := &engine.Engine{}
+	e.Stop()
+	return e
+}
+
 func (g *Gateway) Terms(id uint32, priority uint8, grant float64) {
 	if j := g.jobs[id]; j != nil {
 		j.priority, j.grant = int(priority), grant
