--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,7 +220,7 @@
 				}
 			case dispatch:
 				if over { // meanwhile
-					s.process = gone()
+					s.process = nowhere()
 				}
 				ctx, cancel := context.WithDeadline(g.ctx, until)
 				defer cancel()
@@ -369,15 +369,15 @@
 	}
 	process := e.process
 	if process == nil {
-		process = gone()
+		process = nowhere()
 	}
 	g.step(id, step{do: dispatch, number: j.sent, process: process, grant: j.grant, priority: j.priority})
 	j.sent++
 	j.out++
 }
 
-// gone is a process that takes nothing, so that what is sent to it has never run.
-func gone() *engine.Engine {
+// nowhere is a process that takes nothing, so that what is sent to it has never run.
+func nowhere() *engine.Engine {
 	e := &engine.Engine{}
 	e.Stop()
 	return e
