--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -164,6 +164,11 @@
 	switch {
 	case !errors.Is(err, os.ErrDeadlineExceeded) && errors.As(err, new(*net.OpError)),
 		errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		c.mu.Lock()
+		if n := len(c.open); n > 0 {
+			s.Log.Info().Err(err).Int("jobs", n).Str("client", peer.RemoteAddr().String()).Msg("client has left")
+		}
+		c.mu.Unlock()
 		cancel()
 	default:
 		if !errors.Is(err, errLeaving) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	start    time.Time
 	base     float64 // the Unix clock at the start
 	bell     *time.Timer
+	due      float64                // when the bell is to ring
 	later    chan func(now float64) // told to the module after the call that asked for it
 
 	mu      sync.Mutex // one goroutine at a time is in the module
@@ -124,7 +125,12 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-g.bell.C:
-			g.enter(func(now float64) { g.brain.Woken(now) })
+			g.enter(func(now float64) {
+				if by := now - g.due; by > g.limits.Still {
+					g.log.Warn().Float64("by", by).Msg("stood still")
+				}
+				g.brain.Woken(now)
+			})
 		case tell := <-g.later:
 			g.enter(tell)
 		}
@@ -439,7 +445,10 @@
 
 func (g *Gateway) Remark(text string) { g.log.Debug().Msg(text) }
 
-func (g *Gateway) Wake(after float64) { g.bell.Reset(limits.Duration(after)) }
+func (g *Gateway) Wake(after float64) {
+	g.due = g.now() + after
+	g.bell.Reset(limits.Duration(after))
+}
 
 // tell keeps what the module is to hear once it has been left.
 func (g *Gateway) tell(event func(now float64)) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -36,6 +36,7 @@
 	// Times.
 	Margin       float64 // before a job's time is up, for the way back and for pauses
 	MarginShare  float64 // of the job's time, the most that the margin takes
+	Still        float64 // behind its time, a wake-up is worth a log line
 	ClientWrite  float64 // for a client to take what is written
 	ClientRead   float64 // for the rest of a message begun
 	ClientIdle   float64 // without an open job
@@ -80,6 +81,7 @@
 
 		Margin:       0.15, // three times the longest ways through seen in a hundred
 		MarginShare:  0.1,
+		Still:        0.05,
 		ClientWrite:  2,
 		ClientRead:   10,
 		ClientIdle:   60,
