Ask engines in turn until one has room; part cold budgets anew by slots of the clock

Change: engines are asked one after another until the best is one that was read with room; signs of life wait until a dispatch is overdue; over four gateways, a cold engine's order of parts is drawn anew in each slot of 1.25 windows, half a budget a slot, and the engine joins the draw.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -254,7 +254,7 @@
 	k := b.set.Kinds[e.kind]
 	_, counted := b.grant(j, k)
 	crowd := (e.tally+counted)*float64(b.set.Gateways) > k.Memory && !b.patient()
-	pressed := b.warmth(e) < 1 || e.slow > 2 || e.fullUntil > 0 && b.now < e.fullUntil+2 || crowd
+	pressed := b.warmth(e) < 1 && !b.rotates() || e.slow > 2 || e.fullUntil > 0 && b.now < e.fullUntil+2 || crowd
 	return (!pressed || e.tally == 0 || e.tally+counted <= b.share(e)) &&
 		(j.class.tally+counted <= pool || j.class.tally == 0 && b.now > j.taken+2) // none waits for good
 }
@@ -311,14 +311,27 @@
 
 // withinCold keeps this gateway's part of a cold engine's budget, half of it kept back for wrong estimates.
 // By a hash the first gateway has half of that, the second a quarter and so on: never more for any number.
+// Of many gateways most would have a part too small for any job, and the first more than it ever needs: for
+// them the order is drawn anew in each slot of the clock. A window meets two slots, so each has half.
 func (b *Brain) withinCold(j *job, e *engine) bool {
 	if b.warmth(e) == 1 {
 		return true
 	}
 	budget := b.set.FallMultiple * b.set.ColdFrom * b.set.Kinds[e.kind].Cores * b.set.FallWindow
-	return e.sentWork.sum(b.now, 11)+j.work <= math.Ldexp(budget/2, -1-e.turn)
+	if !b.rotates() {
+		return e.sentWork.sum(b.now, 11)+j.work <= math.Ldexp(budget/2, -1-e.turn)
+	}
+	slot := uint64(b.now / (1.25 * b.set.FallWindow)) // over a window, for the way there and clocks apart
+	if e.slot != slot {
+		e.slot, e.slotWork, e.turn = slot, 0, e.turnOf(b.set.Index, b.set.Gateways, slot)
+	}
+	return e.slotWork+j.work <= math.Ldexp(budget/4, -1-e.turn)
 }
 
+// rotates tells whether cold engines' budgets are parted anew in each slot. Of up to four gateways the last
+// has a part that serves, an eighth of the first one's.
+func (b *Brain) rotates() bool { return b.set.Gateways > 4 && b.set.FallWindow > 0 }
+
 // warmth is the share of its full pace that an engine has, taken to grow evenly from its start on.
 func (b *Brain) warmth(e *engine) float64 {
 	if e.up == 0 || b.now >= e.up+b.set.Cold {
@@ -376,6 +389,14 @@
 			j.draft = append(j.draft, e)
 		}
 	}
+	if b.rotates() { // and one that is cold, in this gateway's slot
+		cold := func(e *engine) bool {
+			return b.warmth(e) < 1 && !misfit(e) && apart(e) && !slices.Contains(j.draft, e)
+		}
+		if at := slices.IndexFunc(b.roster.fleet, cold); at >= 0 {
+			j.draft = append(j.draft, b.roster.fleet[at])
+		}
+	}
 	for _, e := range homes {
 		if !misfit(e) && !slices.Contains(j.draft, e) {
 			j.draft = append(j.draft, e)
@@ -383,26 +404,45 @@
 	}
 }
 
-// unread finds a held job that loses less by waiting for readings than by a poor choice: one over 0.3 s.
+// weighs tells whether the job loses less by waiting for a reading than by a poor choice: one over 0.3 s.
+func (b *Brain) weighs(j *job) bool { return b.set.TellsMemory && j.work > 0.3 }
+
+// unread finds a held job whose best engine has no reading. They are asked one after another, four at most,
+// until the best is one that was read: the fleet pays for each probe, and with room anywhere one or two do.
 func (b *Brain) unread() bool {
 	for _, c := range b.classes {
-		b.job = c.next(b.now)
-		if b.set.TellsMemory && b.job != nil && b.job.read == 0 && b.job.work > 0.3 && b.place(b.job) != nil {
+		j := c.next(b.now)
+		if j == nil || !b.weighs(j) || j.reads >= 4 || j.awaits(b.now) {
+			continue
+		}
+		if e := b.place(j); e != nil && b.unasked(e) {
+			b.job, b.engine = j, e
 			return true
 		}
 	}
 	return false
 }
 
-// read probes the engines that the job may go to, but for those asked a moment ago.
+// unasked tells whether the engine is worth a question: asked longer ago than a reading holds, and not cold,
+// when little may go there.
+func (b *Brain) unasked(e *engine) bool { return b.warmth(e) == 1 && b.now > e.asked+0.8 }
+
 func (b *Brain) read() {
-	b.job.read = b.now - 1
-	for _, e := range b.job.draft {
-		if b.now > e.asked+0.8 { // near the age at which a reading is let go
-			e.asked, b.job.read = b.now, b.now
-			b.out.Probe(e.id)
-		}
-	}
+	b.job.reads++
+	b.job.asked, b.engine.asked = b.engine, b.now
+	b.out.Probe(b.engine.id)
+}
+
+// awaits tells whether the reading that was asked for the job is still to come.
+func (j *job) awaits(now float64) bool {
+	return j.asked != nil && j.asked.readAt < j.asked.asked && now < j.asked.asked+0.015
+}
+
+// roomy tells whether the engine was read a moment ago with room left, own jobs since then counted. Up to
+// two thirds of its cores and memory in use jobs run as if alone, so any such engine is as good as the best.
+func (b *Brain) roomy(e *engine) bool {
+	k := b.set.Kinds[e.kind]
+	return b.now < e.readAt+1 && max(e.granted+e.since/k.Memory, e.cores+e.threads/k.Cores) < 0.65
 }
 
 // Reported takes a load report, -1 for what it does not tell.
@@ -413,7 +453,7 @@
 		return
 	}
 	if memory >= 0 {
-		e.granted, e.readAt, e.since = memory, now, 0
+		e.granted, e.cores, e.readAt, e.since, e.threads = memory, max(util, 0), now, 0, 0
 		b.usualRead += 0.05 * (memory - b.usualRead)
 	}
 	if waiting >= 0 {
@@ -462,7 +502,12 @@
 	if slices.Contains(homes, e) {
 		work *= 0.6 // reading is about half of the work, and a warm set saves most of it
 	}
-	if b.now < e.readAt+1 { // some of what was read then still runs
+	switch {
+	case b.roomy(e), b.weighs(j) && j.reads < 4 && b.unasked(e): // which may have room
+		granted = 0
+	case b.warmth(e) < 1 && b.rotates(): // its budget bounds what all have there
+		granted = 0
+	case b.now < e.readAt+1: // some of what was read then still runs
 		granted = e.granted + e.since/k.Memory
 	}
 	work = (e.work + work + granted*k.Cores) * e.slow / (k.Cores * b.warmth(e) * e.part)
@@ -477,7 +522,7 @@
 	b.job = nil
 	for _, c := range b.classes {
 		j := c.next(b.now)
-		if j == nil || b.job != nil && j.taken >= b.job.taken || j.read > 0 && b.now < j.read+0.015 {
+		if j == nil || b.job != nil && j.taken >= b.job.taken || j.awaits(b.now) {
 			continue
 		}
 		if e := b.place(j); e != nil {
@@ -575,7 +620,9 @@
 	c.queue, b.again = remove(c.queue, j), remove(b.again, j)
 	j.draft = nil
 	e.since += counted
+	e.threads += c.Threads
 	e.sentWork.add(b.now, j.work)
+	e.slotWork += j.work
 	(&dispatch{job: j, engine: e, sent: b.now, run: c.run(j) * e.slow, grant: counted}).book()
 	if priority := uint8(1); b.set.Grants && named > 0 || b.set.Priorities {
 		if j.work < 0.3 { // short jobs cost the long ones little
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"copperrock.example/copperrock/internal/lab/testkit"
 )
 
@@ -312,6 +314,83 @@
 	x.check()
 }
 
+// Of many gateways most had a part of a cold engine's budget that was under any job, so that it idled while it
+// warmed up. In each slot others may send; in no window do all together send over half of what the engine bears.
+func TestColdBudgetTurns(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		set := Settings{Gateways: rapid.IntRange(5, 300).Draw(r, "gateways"), Cold: 100, ColdFrom: 0.5, FallMultiple: 2, Line: true, Priorities: true,
+			FallWindow: rapid.Float64Range(0.2, 4).Draw(r, "window"), MostDispatches: 4, Kinds: []Kind{{Cores: 8, Memory: 8000}},
+			Classes: []Class{{Threads: 2, Value: 1, SLA: 1000}}}
+		began := rapid.Float64Range(1, 2e9).Draw(r, "clock")
+		first := rapid.IntRange(0, 12).Draw(r, "step of the first job") // so that a slot's part may go late in it
+		type sent struct{ at, work float64 }
+		var all []sent
+		served := map[int]bool{}
+		gateways := make([]*Brain, set.Gateways)
+		for i := range gateways {
+			set.Index = i
+			gateways[i] = New(7, set, &trace{t: t})
+			gateways[i].RosterBegins(began, Whole)
+			gateways[i].Listed(began, 1, 0, 0, 0, true, 1, began)
+			gateways[i].RosterEnds(began)
+		}
+		id := uint32(0)
+		for step := first; step < first+40; step++ {
+			now := began + float64(step)*set.FallWindow/7
+			for i, g := range gateways {
+				e := g.roster.fleet[0]
+				before := e.work
+				for n := 0; n < 25 && len(g.classes[0].queue) < 5; n++ { // more than any part
+					id++
+					g.Arrive(now, id, 0, 0, 0, now+1000, 0.1*set.FallWindow, 100, 0, 0)
+				}
+				if work := e.work - before; work > 0 {
+					all, served[i] = append(all, sent{now, work}), true
+				}
+			}
+		}
+		for from, one := range all {
+			sum := 0.0
+			for _, s := range all[from:] {
+				if s.at < one.at+set.FallWindow {
+					sum += s.work
+				}
+			}
+			if budget := set.FallMultiple * set.ColdFrom * 8 * set.FallWindow; sum > budget/2+1e-6 {
+				r.Fatalf("%g of %g in a window from %g on", sum, budget, one.at-began)
+			}
+		}
+		if set.Gateways >= 20 && len(served) <= 5 { // as many as one order serves
+			r.Fatalf("only %d of %d gateways had a turn", len(served), set.Gateways)
+		}
+	})
+}
+
+// Engines are asked one after another until one has room: the others' probes would tell nothing of use.
+func TestAsksUntilOneHasRoom(t *testing.T) {
+	x := start(t, Settings{TellsMemory: true, Gateways: 300}, Class{SLA: 30})
+	x.at = 5
+	x.list(Whole, true, 0, 1, 2, 3, 4)
+	x.arrive(1, 0, 0, 1, 1000)
+	for _, told := range [][2]float64{{0.4, 0.9}, {0.9, 0.1}, {0.3, 0.5}} { // memory taken, cores busy, good enough
+		id := x.jobs[1].asked.id
+		x.say("engine %d has %.1f of its cores in use and %.1f of its memory granted", id, told[0], told[1])
+		x.Reported(x.at, id, -1, -1, told[0], told[1], -1)
+		x.Probed(x.at, id, Done)
+	}
+	x.check()
+}
+
+// An engine that does not answer in 15 ms is not waited for.
+func TestUnansweredProbes(t *testing.T) {
+	x := start(t, Settings{TellsMemory: true, Gateways: 300}, Class{SLA: 30})
+	x.at = 5
+	x.list(Whole, true, 0, 1, 2, 3, 4)
+	x.arrive(1, 0, 0, 1, 1000)
+	x.pass(5.2)
+	x.check()
+}
+
 func TestRosterThatHasToBeAsked(t *testing.T) {
 	x := start(t, Settings{AskRoster: true}, Class{})
 	x.list(Cached, true, 0, 1)
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -158,7 +158,8 @@
 func (b *Brain) Listed(now float64, id uint32, zone, kind, cell int, ready bool, weight, up float64) {
 	e := b.roster.entry(id, cmp.Or(b.set.FallWindow, 1)/10)
 	if up > e.up {
-		e.up, e.heard, e.slow, e.turn = up, now, 1, e.turnOf(b.set.Index, b.set.Gateways)
+		e.up, e.heard, e.slow, e.turn = up, now, 1, e.turnOf(b.set.Index, b.set.Gateways, 0)
+		e.slot, e.slotWork = 0, 0
 		e.doubted, e.restLength, e.fullUntil, e.ease = false, 0, 0, 1
 	}
 	e.zone, e.kind, e.cell, e.ready, e.listed = zone, min(kind, len(b.set.Kinds)-1), cell, ready, true
--- a/brain/state.go
+++ b/brain/state.go
@@ -22,8 +22,9 @@
 	dispatches    []*dispatch
 	out           int
 	draft         []*engine // compared for it
-	read          float64   // when they were probed
-	yields        *job      // goes first
+	asked         *engine   // the latest probed for it
+	reads         int
+	yields        *job // goes first
 }
 
 // first is the earliest dispatch that may have run.
@@ -93,12 +94,15 @@
 	live                  []*dispatch
 	heard                 float64 // last answer
 	turn                  int     // this gateway's among those that share a cold budget
+	slot                  uint64  // for which that holds
+	slotWork              float64 // own, sent in it
 	slow                  float64 // run time over the class's
 	fullUntil             float64
 	restUntil, restLength float64
 	doubted               bool
 	passed                int     // trials passed since
-	granted, since        float64 // share of the memory granted, as read; own work sent since then
+	granted, cores        float64 // shares of the memory granted and of the cores in use, as read
+	since, threads        float64 // own memory and threads sent since then
 	readAt, asked         float64
 	sentWork              ring
 	record                record
@@ -128,10 +132,12 @@
 // busy is the engine's own estimated work, with so much more, over what its part gets done.
 func (e *engine) busy(more float64) float64 { return (e.work + more) * e.slow / e.part }
 
-// turnOf is the gateway's place, from 0, in the hash's order of all gateways for this engine.
-func (e *engine) turnOf(index, gateways int) (turn int) {
+// turnOf is the gateway's place, from 0, in the hash's order of all gateways for this engine in a slot.
+func (e *engine) turnOf(index, gateways int, slot uint64) (turn int) {
+	rank := func(i int) uint64 { return mix(e.rank(uint32(i)) ^ slot) }
+	own := rank(index)
 	for i := range gateways {
-		if i != index && e.rank(uint32(i)) < e.rank(uint32(index)) {
+		if i != index && rank(i) < own {
 			turn++
 		}
 	}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -169,6 +169,17 @@
 	c.timer.Reset(limits.Duration(c.Settings.Idle * 0.8))
 }
 
+// due is when the first of the open dispatches is overdue. Silence up to there tells nothing, and a sign of life has
+// its price at the engine: with three hundred controllers most were asked of long jobs that ran as they should.
+func (c *conn) due() (first time.Time) {
+	for _, k := range c.calls {
+		if first.IsZero() || k.due.Before(first) {
+			first = k.due
+		}
+	}
+	return first
+}
+
 // look closes the connection if it has been idle; else it sees to it that a silence is not the connection's alone.
 // One that does not answer a sign of life, while the engine has been seen to answer elsewhere since, is of no use.
 // Long jobs are silent by nature: each sign of life doubles the time to the next.
@@ -190,13 +201,17 @@
 	if c.began.After(since) {
 		since = c.began
 	}
+	alarm := since.Add(c.quiet)
+	if due := c.due(); due.After(alarm) {
+		alarm = due
+	}
 	switch alive := time.Unix(0, c.Engine.heard.Load()); {
 	case !c.asked.IsZero() && c.heard.After(c.asked):
 		c.asked = time.Time{}
 		c.quiet = min(2*c.quiet, limits.Duration(c.Limits.EngineQuietest))
 		pace = c.quiet
-	case c.asked.IsZero() && now.Sub(since) < c.quiet:
-		pace = c.quiet - now.Sub(since)
+	case c.asked.IsZero() && now.Before(alarm):
+		pace = alarm.Sub(now)
 	case c.asked.IsZero():
 		c.asked, c.knocked, c.elsewhere = now, false, time.Time{}
 		c.put(line{words: []string{"NOOP", "alive"}})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,6 +46,7 @@
 	until      time.Time
 	grant      float64
 	priority   int
+	due        time.Time // overdue from then on
 
 	// Guarded by the connection.
 	state   state
@@ -65,11 +66,13 @@
 	ended
 )
 
-// Ask dispatches a job. The statement is held until it is written.
+// Ask dispatches a job that will run for so many seconds, 0 where that is not known. The statement is held until it
+// is written.
 func (e *Engine) Ask(ref, class string, statement *buffer.Chain, until time.Time, grant float64,
-	priority int) *Call {
+	priority int, run float64) *Call {
+	const over = 2 // times the estimated run: engines are shared, and estimates lie that far off
 	k := &Call{ref: ref, class: class, statement: statement, until: until, grant: grant, priority: priority,
-		step: make(chan struct{}, 2), status: brain.NoConnection}
+		due: time.Now().Add(limits.Duration(over * run)), step: make(chan struct{}, 2), status: brain.NoConnection}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c := e.pick(ref); c != nil {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -52,7 +52,7 @@
 }
 
 func (r *rig) ask(id int) *Call {
-	return r.Ask(testkit.Ref(id), "report", r.text, time.Now().Add(time.Hour), 96.2, 3)
+	return r.Ask(testkit.Ref(id), "report", r.text, time.Now().Add(time.Hour), 96.2, 3, 0)
 }
 
 // ends waits for the dispatch, fetches its pages and says how it ended.
@@ -231,6 +231,29 @@
 	r.Check()
 }
 
+// While a long job runs no sign of life is asked for: three hundred controllers that did cost engines more than the
+// jobs' answers. Once one of the open dispatches is overdue, it is.
+func TestNoSignOfLifeBeforeItIsDue(t *testing.T) {
+	r := start(t)
+	r.Limits.EngineQuiet, r.Limits.EngineQuietest = 0.02, 3600
+	long := r.Ask(testkit.Ref(1), "report", r.text, time.Now().Add(time.Hour), 96.2, 3, 1800)
+	r.far.Hears(1)
+	r.Engine.mu.Lock()
+	c := r.Engine.conns[0]
+	r.Engine.mu.Unlock()
+	c.mu.Lock()
+	c.began = c.began.Add(-time.Minute) // a minute of silence
+	c.mu.Unlock()
+	c.look()
+	short := r.ask(2)
+	r.far.Hears(2) // the second dispatch, and a sign of life on its account
+	r.far.Answers(1, testkit.Ref(2), "data", "chunks=1", "")
+	r.ends(short)
+	r.far.Answers(1, testkit.Ref(1), "data", "chunks=1", "")
+	r.ends(long)
+	r.Check()
+}
+
 // What has not gone when the engine drains has never run; what is out goes on, and nothing new is taken.
 func TestStop(t *testing.T) {
 	r := start(t)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -335,7 +335,7 @@
 				defer cancel()
 				// Dispatched.
 				began := g.now()
-				call := s.process.Ask(ref, class, text, until, s.grant, s.priority)
+				call := s.process.Ask(ref, class, text, until, s.grant, s.priority, work/g.settings.Brain.Classes[number].Threads)
 				calls = append(calls, dispatched{call, cancel})
 				g.group.Go(func() error {
 					status, whole, ran := call.Wait(ctx)
