--- /dev/null
+++ b/cmd/copperrock/process_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	lab "copperrock.example/copperrock/internal/lab/fleet"
+	"copperrock.example/copperrock/internal/lab/standin"
+	"copperrock.example/copperrock/internal/members"
+)
+
+// selfRun has the tests' own program be the program: a test of many processes starts itself so.
+const selfRun = "COPPERROCK_SELF"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(selfRun) != "" {
+		os.Exit(start(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// crowd is many controllers in processes of their own, among stand-in engines that they all use.
+type crowd struct {
+	*lab.Fleet
+	t         testing.TB
+	engines   []*standin.Engine
+	list      members.List
+	file      string
+	addresses []string // of the controllers, for clients
+}
+
+// newCrowd starts the engines and writes their list; change may set up each before it starts.
+func newCrowd(t testing.TB, engines int, seed uint64, change func(i int, e *standin.Engine)) *crowd {
+	c := &crowd{Fleet: lab.New(t.TempDir(), seed), t: t}
+	c.file = filepath.Join(c.Folder, "engines.jsonc")
+	t.Cleanup(func() {
+		c.Fleet.Close()
+		for _, e := range c.engines {
+			e.Stop()
+		}
+	})
+	for range engines {
+		c.engine(change)
+	}
+	c.write()
+	return c
+}
+
+// engine starts one more engine and has it in the list, not yet written.
+func (c *crowd) engine(change func(i int, e *standin.Engine)) {
+	i := len(c.engines)
+	e := &standin.Engine{Name: fmt.Sprintf("e%d", i), Cores: 4, Speed: 1, Memory: 4096, Seed: c.Seed + uint64(i)}
+	if change != nil {
+		change(i, e)
+	}
+	if err := e.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.engines = append(c.engines, e)
+	c.list.Engines = append(c.list.Engines, members.Engine{Name: e.Name, Address: e.Address, Zone: "here", Kind: "small", Weight: 1, State: members.InService})
+}
+
+func (c *crowd) write() {
+	c.list.Generation++
+	c.list.Confirmed = true
+	part := c.file + ".part"
+	if err := os.WriteFile(part, c.list.Print(), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	if err := os.Rename(part, c.file); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// free is an address on loopback that nobody listens at.
+func free(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// controller adds a controller with settings of its own, not yet started. In the text NAME, LISTEN, ENGINES and SEED
+// are put in.
+func (c *crowd) controller(name, settings string) *lab.Process {
+	listen := free(c.t)
+	c.addresses = append(c.addresses, listen)
+	text := strings.NewReplacer("NAME", name, "LISTEN", listen, "ENGINES", c.file, "SEED", fmt.Sprintf("%d-%s", c.Seed, name)).Replace(settings)
+	path := filepath.Join(c.Folder, name+".jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return c.Add(name, self, []string{"run", "--settings", path}, []string{selfRun + "=1", "GOMAXPROCS=1"})
+}
+
+// ready tells whether a controller takes jobs.
+func ready(address string) bool {
+	client, err := standin.Dial(address)
+	if err != nil {
+		return false
+	}
+	defer client.Close()
+	return client.Ready(time.Second) == nil
+}
+
+// up waits until all controllers take jobs.
+func (c *crowd) up() {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	defer cancel()
+	for i, address := range c.addresses {
+		if err := lab.Until(ctx, "a controller takes jobs", func() bool { return ready(address) }); err != nil {
+			c.t.Fatal(i, err, c.Tail(c.Names()[0], 2000))
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/faults.go
@@ -0,0 +1,222 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Fault is one thing done to a party, or to the links between parties, at a time.
+type Fault struct {
+	At, For  float64 // seconds from the plan's start, and until it is undone; For 0 is for good
+	Do       string  // kill, freeze, cut, cut-there, cut-back, slow, lossy, flap, refuse
+	Who      []string
+	Others   []string // of a link: the parties at its other end, "*" for everyone
+	Delay    float64  // of slow, flap: seconds
+	Chance   float64  // of lossy
+	Restarts bool     // kill: it is started again after For
+}
+
+// String gives the fault as Plan reads it.
+func (f Fault) String() string {
+	parts := []string{number(f.At), f.Do, strings.Join(f.Who, ",")}
+	if len(f.Others) > 0 {
+		parts = append(parts, "from", strings.Join(f.Others, ","))
+	}
+	if f.Delay > 0 {
+		parts = append(parts, "by", number(f.Delay))
+	}
+	if f.Chance > 0 {
+		parts = append(parts, "chance", number(f.Chance))
+	}
+	if f.For > 0 {
+		parts = append(parts, "for", number(f.For))
+	}
+	return strings.Join(parts, " ")
+}
+
+func number(v float64) string { return strconv.FormatFloat(v, 'g', 4, 64) }
+
+var kinds = []string{"kill", "freeze", "cut", "cut-there", "cut-back", "slow", "lossy", "flap", "refuse"}
+
+// Plan reads a list of faults, a line each: "1.5 cut a,b from c for 2", "3 kill a for 1" (started again after that),
+// "2 slow a from * by 0.5 for 4", "2 lossy a from b chance 0.05". Empty lines and those that start with # are passed
+// over.
+func Plan(text string) (plan []Fault, err error) {
+	for i, line := range strings.Split(text, "\n") {
+		words := strings.Fields(line)
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		f, err := parse(words)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", i+1, err)
+		}
+		plan = append(plan, f)
+	}
+	slices.SortStableFunc(plan, func(x, y Fault) int { return cmp.Compare(x.At, y.At) })
+	return plan, nil
+}
+
+func parse(words []string) (f Fault, err error) {
+	if len(words) < 3 || len(words)%2 == 0 {
+		return f, fmt.Errorf("%q is no fault", strings.Join(words, " "))
+	}
+	if f.At, err = strconv.ParseFloat(words[0], 64); err != nil || f.At < 0 {
+		return f, fmt.Errorf("%q is no time", words[0])
+	}
+	if f.Do = words[1]; !slices.Contains(kinds, f.Do) {
+		return f, fmt.Errorf("%q is none of %s", f.Do, strings.Join(kinds, ", "))
+	}
+	f.Who = strings.Split(words[2], ",")
+	for i := 3; i < len(words); i += 2 {
+		value, bad := strconv.ParseFloat(words[i+1], 64)
+		switch words[i] {
+		case "from":
+			f.Others, bad = strings.Split(words[i+1], ","), nil
+		case "by":
+			f.Delay = value
+		case "chance":
+			f.Chance = value
+		case "for":
+			f.For = value
+		default:
+			return f, fmt.Errorf("%q is not known", words[i])
+		}
+		if bad != nil || value < 0 {
+			return f, fmt.Errorf("%s %s: no number over 0", words[i], words[i+1])
+		}
+	}
+	if f.onLink() && len(f.Others) == 0 {
+		f.Others = []string{"*"}
+	}
+	f.Restarts = f.Do == "kill" && f.For > 0
+	return f, nil
+}
+
+func (f Fault) onLink() bool { return f.Do != "kill" && f.Do != "freeze" }
+
+// link is what the fault makes of a link.
+func (f Fault) link() Link {
+	delay := time.Duration(f.Delay * float64(time.Second))
+	switch f.Do {
+	case "cut":
+		return Both
+	case "cut-there":
+		return Link{There: true}
+	case "cut-back":
+		return Link{Back: true}
+	case "slow":
+		return Link{Delay: delay}
+	case "lossy":
+		return Link{Reset: f.Chance}
+	case "flap":
+		return Link{Flap: max(delay, 10*time.Millisecond)}
+	case "refuse":
+		return Link{Refuse: true}
+	}
+	return Link{}
+}
+
+// do carries the fault out, or undoes it.
+func (f Fault) do(fleet *Fleet, undo bool) error {
+	if f.onLink() {
+		l := f.link()
+		if undo {
+			l = Link{}
+		}
+		fleet.Join(f.Who, f.Others, l)
+		return nil
+	}
+	for _, name := range f.Who {
+		p := fleet.Process(name)
+		switch {
+		case p == nil:
+			return fmt.Errorf("no process %q", name)
+		case f.Do == "kill" && undo:
+			if err := p.Start(); err != nil {
+				return err
+			}
+		case f.Do == "kill":
+			p.Kill()
+		case undo:
+			p.Thaw()
+		default:
+			p.Freeze()
+		}
+	}
+	return nil
+}
+
+// Play carries out a plan and undoes each fault in its time, until all is done or ctx ends. told hears each step; it
+// may be nil.
+func (f *Fleet) Play(ctx context.Context, plan []Fault, told func(at float64, what string)) error {
+	type step struct {
+		at   float64
+		f    Fault
+		undo bool
+	}
+	var steps []step
+	for _, one := range plan {
+		steps = append(steps, step{one.At, one, false})
+		if one.For > 0 {
+			steps = append(steps, step{one.At + one.For, one, true})
+		}
+	}
+	slices.SortStableFunc(steps, func(x, y step) int { return cmp.Compare(x.at, y.at) })
+	began := time.Now()
+	for _, s := range steps {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(began.Add(time.Duration(s.at * float64(time.Second))))):
+		}
+		if err := s.f.do(f, s.undo); err != nil {
+			return err
+		}
+		if told != nil {
+			what := s.f.String()
+			if s.undo {
+				what += ": over"
+			}
+			told(time.Since(began).Seconds(), what)
+		}
+	}
+	return nil
+}
+
+// Random draws a plan from a seed: so many faults over so many seconds on the named processes and their links, each
+// undone within a quarter of that. The same seed gives the same plan.
+func Random(seed uint64, names []string, faults int, over float64) (plan []Fault) {
+	r := rand.New(rand.NewPCG(seed, 1)) // a plan is drawn once, from its seed alone
+	hit := map[string]float64{}         // no second fault befalls a process before the first is undone
+	for range faults {
+		f := Fault{At: r.Float64() * over, For: (0.2 + 0.8*r.Float64()) * over / 4, Do: kinds[r.IntN(len(kinds))],
+			Who: []string{names[r.IntN(len(names))]}, Delay: 0.05 + 0.45*r.Float64(), Chance: 0.02}
+		if f.onLink() {
+			f.Others = []string{names[r.IntN(len(names))]}
+			if r.IntN(2) == 0 {
+				f.Others = []string{"*"}
+			}
+		}
+		if f.At < hit[f.Who[0]] {
+			continue
+		}
+		hit[f.Who[0]] = f.At + f.For
+		f.Restarts = f.Do == "kill"
+		if f.Do != "slow" && f.Do != "flap" {
+			f.Delay = 0
+		}
+		if f.Do != "lossy" {
+			f.Chance = 0
+		}
+		plan = append(plan, f)
+	}
+	slices.SortStableFunc(plan, func(x, y Fault) int { return cmp.Compare(x.At, y.At) })
+	return plan
+}
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +51,7 @@
 	Seed    uint64
 	Tell    func(Seen) // may be nil; called from many goroutines
 	Address string     // "127.0.0.1:0" where empty
+	InTurn  bool       // a job has a core to itself, in arrival order; those that wait are told as pending
 
 	listener net.Listener
 	ctx      context.Context
@@ -63,6 +65,10 @@
 	work    float64 // done in all
 	jobs    int
 	peers   map[net.Conn]bool
+	busy    int             // cores, in turn
+	line    []chan struct{} // jobs that wait for one
+	probes  int
+	opened  int // connections
 }
 
 // Start listens, and serves until Stop.
@@ -84,6 +90,7 @@
 			}
 			e.mu.Lock()
 			e.peers[peer] = true
+			e.opened++
 			e.mu.Unlock()
 			e.all.Go(func() {
 				e.serve(peer)
@@ -123,6 +130,13 @@
 	return e.running
 }
 
+// Asked tells how many probes and connections there were.
+func (e *Engine) Asked() (probes, connections int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.probes, e.opened
+}
+
 // Connections tells how many connections are open.
 func (e *Engine) Connections() int {
 	e.mu.Lock()
@@ -232,7 +246,11 @@
 			s.mu.Unlock()
 		case (words[0] == "NOOP" || words[0] == "INFO") && len(words) == 2:
 			e.mu.Lock()
+			e.probes++
 			load := fmt.Sprintf("load=busy_reqs:%d;x0:%.3f", e.running, e.granted/max(e.Memory, 1))
+			if e.InTurn {
+				load += fmt.Sprintf(";pending:%d;cpu_share:%.3f", len(e.line), float64(e.busy)/max(e.Cores, 1))
+			}
 			e.mu.Unlock()
 			s.say(words[1], "well", load, "")
 		}
@@ -304,6 +322,13 @@
 	if fault == Fail || fault == Reset {
 		work /= 2
 	}
+	if e.InTurn {
+		if !e.seat(ctx) {
+			return
+		}
+		defer e.leave()
+		e.tell("began", ref, class, grant, c)
+	}
 	if !e.take(ctx, work) {
 		return
 	}
@@ -335,6 +360,48 @@
 	}
 }
 
+// seat waits for a core in arrival order.
+func (e *Engine) seat(ctx context.Context) bool {
+	e.mu.Lock()
+	if e.busy < int(e.Cores) {
+		e.busy++
+		e.mu.Unlock()
+		return true
+	}
+	turn := make(chan struct{})
+	e.line = append(e.line, turn)
+	e.mu.Unlock()
+	select {
+	case <-turn:
+		return true
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if at := slices.Index(e.line, turn); at >= 0 {
+		e.line = slices.Delete(e.line, at, at+1)
+		return false
+	}
+	e.pass() // the core came at the same moment
+	return false
+}
+
+// leave gives the core to the next in the line.
+func (e *Engine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pass()
+}
+
+func (e *Engine) pass() {
+	if len(e.line) == 0 {
+		e.busy--
+		return
+	}
+	close(e.line[0])
+	e.line = e.line[1:]
+}
+
 // take spends the time that work costs beside the others, in steps so that it follows their number.
 func (e *Engine) take(ctx context.Context, work float64) bool {
 	const step = 0.01 // a hundredth of a second is fine enough for jobs of some hundredths and more
@@ -342,7 +409,13 @@
 		e.mu.Lock()
 		pace := max(e.Speed, 0.001) * min(1, max(e.Cores, 1)/float64(max(e.running, 1)))
 		e.mu.Unlock()
+		if e.InTurn {
+			pace = max(e.Speed, 0.001)
+		}
 		wait := min(step, work/pace)
+		if e.InTurn { // nothing changes its pace
+			wait = work / pace
+		}
 		select {
 		case <-ctx.Done():
 			return false
