--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -42,7 +42,7 @@
 type Holding struct {
 	Amount float64 // that it may spend, as it has been or will be told
 	Bound  float64 // that it may still be spending; never under Amount
-	Number uint64  // of the last change of Amount
+	Number uint64  // of the last change of Amount: rises over the whole ledger, so also for a holder that was given up and came back
 }
 
 // Controller is a holder that lives, or is not surely gone.
@@ -228,7 +228,7 @@
 	if amount == hold.Amount {
 		return nil
 	}
-	c.Holds[name] = Holding{Amount: amount, Bound: max(hold.Bound, amount), Number: hold.Number + 1}
+	c.Holds[name] = Holding{Amount: amount, Bound: max(hold.Bound, amount), Number: l.Applied}
 	return nil
 }
 
--- a/internal/fleet/part/part.go
+++ b/internal/fleet/part/part.go
@@ -129,7 +129,8 @@
 			continue
 		}
 		given[g.Name] = true
-		if g.Number < h.number {
+		if g.Number < h.number { // which no quorum would say; the stricter of the two holds
+			h.amount = min(h.amount, g.Amount)
 			continue
 		}
 		if !g.Bound {
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -19,6 +19,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
@@ -115,6 +116,9 @@
 	answers []Answer
 	failed  error
 
+	silent, patience int // beats without a leader's word, and how many are borne
+	tries            uint64
+
 	// While it leads.
 	leads   bool
 	since   float64 // leading
@@ -195,8 +199,8 @@
 	if err := c.store.Append(kept.Entries); err != nil {
 		return nil, err
 	}
-	c.node, err = raft.NewRawNode(&raft.Config{ID: set.ID, ElectionTick: 10, HeartbeatTick: 1, Storage: c.store, Applied: c.applied,
-		MaxSizePerMsg: 256 << 10, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 4 << 20, CheckQuorum: true, PreVote: true,
+	c.node, err = raft.NewRawNode(&raft.Config{ID: set.ID, ElectionTick: 1 << 30, HeartbeatTick: 1, Storage: c.store, Applied: c.applied,
+		MaxSizePerMsg: 256 << 10, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 4 << 20, PreVote: true,
 		ReadOnlyOption: raft.ReadOnlySafe, Logger: quiet{}, DisableProposalForwarding: true})
 	return c, err
 }
@@ -260,6 +264,7 @@
 	}
 	defer c.guard(&err)
 	c.node.Tick()
+	c.campaign()
 	c.lead(now)
 	if c.leads {
 		c.expire(now)
@@ -270,6 +275,29 @@
 	return nil
 }
 
+// electionBeats is how long a voter that has heard of a leader gives its vote to no other, in beats. raft's own timer,
+// whose chance comes from no seed, is set to never ring.
+const electionBeats = 6
+
+// campaign asks for votes after seven to ten beats without a leader's word. A leader that a quorum does not hear goes
+// on, but answers nobody: every answer needs that quorum's word.
+func (c *Core) campaign() {
+	if c.leads {
+		c.silent = 0
+		return
+	}
+	if c.patience == 0 {
+		h := fnv.New64a()
+		h.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, c.set.ID), c.tries))
+		c.tries++
+		c.patience = electionBeats + int((h.Sum64()>>20)%4)
+	}
+	if c.silent++; c.silent > c.patience {
+		c.silent, c.patience = 0, 0
+		c.node.Campaign()
+	}
+}
+
 // Step takes a message from another voter.
 func (c *Core) Step(now float64, m *raftpb.Message) (err error) {
 	if c.failed != nil {
@@ -279,6 +307,16 @@
 		return errors.New("a message that is not for this voter")
 	}
 	defer c.guard(&err)
+	switch t := m.GetType(); t {
+	case raftpb.MsgApp, raftpb.MsgHeartbeat, raftpb.MsgSnap:
+		if m.GetTerm() >= c.node.BasicStatus().GetTerm() {
+			c.silent, c.patience = 0, 0
+		}
+	case raftpb.MsgPreVote, raftpb.MsgVote: // one that does not hear the leader shall not disturb those that do
+		if c.leads || c.Leader() != 0 && c.silent < electionBeats {
+			return nil
+		}
+	}
 	if err := c.node.Step(m); err != nil && !errors.Is(err, raft.ErrProposalDropped) {
 		return err
 	}
@@ -361,8 +399,8 @@
 	clear(c.seen)
 	clear(c.demands)
 	c.todo, c.flying = nil, 0
-	for _, r := range c.reading {
-		c.asks = append(c.asks, r.asks...)
+	for _, id := range slices.Sorted(maps.Keys(c.reading)) {
+		c.asks = append(c.asks, c.reading[id].asks...)
 	}
 	clear(c.reading)
 	for _, a := range c.asks {
@@ -428,9 +466,10 @@
 	for _, q := range c.ledger.Quantities {
 		longest = max(longest, q.Window)
 	}
-	for h := range c.ledger.Controllers {
+	for _, holder := range c.ledger.Sorted() {
+		h := holder.Holder
 		if _, heard := c.seen[h]; !heard {
-			c.seen[h] = max(c.since, 0)
+			c.seen[h] = c.since
 		}
 		if now > c.seen[h]+c.set.Rules.Over()+longest*(1+c.set.Rules.Drift) {
 			c.do(ledger.Command{Op: ledger.Expire, Holder: h})
--- a/internal/fleet/quorum/quorum_test.go
+++ b/internal/fleet/quorum/quorum_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -44,7 +45,7 @@
 	for seed := first; seed < first+count; seed++ {
 		voters := 3 + 2*int(seed%2)
 		if s := play(seed, voters, 6, ""); s.wrong != "" {
-			t.Fatalf("SEED=%d: %s\n%v", seed, s.wrong, s.log)
+			t.Fatalf("SEED=%d: %s\n%s", seed, s.wrong, strings.Join(s.log, "\n"))
 		}
 	}
 }
--- a/internal/fleet/quorum/sim_test.go
+++ b/internal/fleet/quorum/sim_test.go
@@ -213,8 +213,8 @@
 		}
 		if s.defect == "settled early" && core.leads {
 			for _, c := range core.ledger.Sorted() {
-				for name, hold := range c.Holds {
-					if hold.Bound > hold.Amount {
+				for _, name := range both {
+					if hold := c.Holds[name]; hold.Bound > hold.Amount {
 						core.do(ledger.Command{Op: ledger.Settle, Holder: c.Holder, What: name, Number: hold.Number})
 					}
 				}
@@ -289,7 +289,8 @@
 }
 
 func (s *sim) ask(h *holderSim) {
-	for _, hold := range h.holds {
+	for _, name := range both {
+		hold := h.holds[name]
 		hold.Want(hold.Used(s.now(h)) + 30*h.wants)
 	}
 	number, reports := h.parts.Ask(s.now(h))
@@ -351,7 +352,8 @@
 		}
 		return j.end <= s.at
 	})
-	for name, hold := range h.holds {
+	for _, name := range both {
+		hold := h.holds[name]
 		amount := 0.2 + 2*s.r.Float64()
 		if s.r.Float64() < h.wants && h.parts.Spend(now, hold, amount) && name == "memory" {
 			h.jobs = append(h.jobs, job{name, amount, s.at + s.rules.Linger*s.r.Float64()})
@@ -359,6 +361,8 @@
 	}
 }
 
+var both = []string{"memory", "further"}
+
 // kill ends a life; what it had running goes on at the engines for its time.
 func (s *sim) kill(h *holderSim) {
 	for _, j := range h.jobs {
@@ -373,7 +377,7 @@
 // check adds up what may be in use of each quantity.
 func (s *sim) check() {
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(j job) bool { return j.end <= s.at })
-	for _, name := range []string{"memory", "further"} {
+	for _, name := range both {
 		sum := 0.0
 		for _, j := range s.ghosts {
 			if j.quantity == name {
@@ -397,6 +401,7 @@
 		}
 		if sum > s.whole+1e-6 && s.wrong == "" {
 			s.wrong = fmt.Sprintf("B1: at %.3f %.3f of %g of %s may be in use", s.at, sum, s.whole, name)
+			s.tell(name)
 		}
 	}
 	for _, v := range s.voters {
@@ -406,6 +411,27 @@
 	}
 }
 
+// tell writes down who holds what.
+func (s *sim) tell(name string) {
+	for _, h := range s.holders {
+		s.say("%s.%d dead %v frozen %v limit %.2f used %.2f, leased until %.3f of %.3f", h.name, h.inc, h.dead, h.frozen, h.parts.Limit(s.now(h), h.holds[name]),
+			h.holds[name].Used(s.now(h)), h.parts.Until(), s.now(h))
+	}
+	for _, j := range s.ghosts {
+		s.say("a ghost's job of %.2f of %s until %.3f", j.amount, j.quantity, j.end)
+	}
+	for _, id := range s.ids {
+		v := s.voters[id]
+		if v.core == nil {
+			continue
+		}
+		s.say("v%d leads %v term %d frozen %v", id, v.core.leads, v.core.Term(), v.frozen)
+		for _, c := range v.core.ledger.Sorted() {
+			s.say("  %s.%d replaced %v %+v seen %.3f of %.3f", c.Name, c.Inc, c.Replaced, c.Holds[name], v.core.seen[c.Holder], s.at*v.rate)
+		}
+	}
+}
+
 // run plays until a time or the first thing wrong.
 func (s *sim) run(to float64) {
 	for len(s.events) > 0 && s.wrong == "" {
@@ -448,6 +474,17 @@
 	}
 }
 
+// split cuts some voters from the others, or joins them again; holders reach all.
+func (s *sim) split(some []string, cut bool) {
+	for _, id := range s.ids {
+		if o := s.name(id); !slices.Contains(some, o) {
+			for _, name := range some {
+				s.cut[[2]string{name, o}], s.cut[[2]string{o, name}] = cut, cut
+			}
+		}
+	}
+}
+
 // trouble does one thing drawn by chance, and undoes it later.
 func (s *sim) trouble() {
 	length := 0.2 + 3*s.r.Float64()
@@ -458,7 +495,7 @@
 		v = l
 	}
 	h := s.holders[s.r.IntN(len(s.holders))]
-	switch s.r.IntN(9) {
+	switch s.r.IntN(11) {
 	case 0:
 		s.say("%s cut off", who)
 		s.isolate(who, true, true)
@@ -507,6 +544,16 @@
 		h.frozen = true
 		life := h.life
 		s.after(length, func() { s.thawHolder(h, life) })
+	case 9, 10: // a leader cut from its quorum but not from its holders, or voters split in two
+		var some []string
+		for i, id := range s.ids {
+			if name := s.name(id); id == v.id || s.r.IntN(2) == 0 && i < len(s.ids)/2 {
+				some = append(some, name)
+			}
+		}
+		s.say("%v cut off from the other voters", some)
+		s.split(some, true)
+		s.after(length, func() { s.split(some, false) })
 	case 8:
 		s.say("demand turns")
 		for _, h := range s.holders {
--- /dev/null
+++ b/internal/keep/votes/votes_test.go
@@ -0,0 +1,184 @@
+package votes
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"copperrock.example/copperrock/internal/fleet/quorum"
+)
+
+var me = Identity{"test", 1}
+
+func p[T any](v T) *T { return &v }
+
+// model is what the disk must give back.
+type model struct {
+	state   *raftpb.HardState
+	entries []*raftpb.Entry
+}
+
+// Whatever is saved, rewritten and cut off in the middle of a write is read back as it was synced.
+func TestReadsBackWhatWasSynced(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		folder, err := os.MkdirTemp("", "votes")
+		if err != nil {
+			r.Fatal(err)
+		}
+		defer os.RemoveAll(folder)
+		path := filepath.Join(folder, "votes")
+		if err := Create(path, me, quorum.First([]uint64{1, 2, 3})); err != nil {
+			r.Fatal(err)
+		}
+		var m model
+		next := uint64(2)
+		for range rapid.IntRange(1, 12).Draw(r, "steps") {
+			f, kept, err := Open(path, me)
+			if err != nil {
+				r.Fatal(err)
+			}
+			check(r, kept, m)
+			out := quorum.Output{Synced: true}
+			if back := rapid.Uint64Range(0, 2).Draw(r, "taken back"); next > 2+back { // a new leader's word
+				next -= back
+				m.entries = m.entries[:next-2]
+			}
+			for range rapid.IntRange(0, 3).Draw(r, "entries") {
+				e := &raftpb.Entry{Index: p(next), Term: p(uint64(7)), Data: rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(r, "data")}
+				out.Entries, m.entries = append(out.Entries, e), append(m.entries, e)
+				next++
+			}
+			if len(out.Entries) == 0 { // what was taken back is only gone once something stands in its place
+				e := &raftpb.Entry{Index: p(next), Term: p(uint64(8))}
+				out.Entries, m.entries = append(out.Entries, e), append(m.entries, e)
+				next++
+			}
+			if rapid.Bool().Draw(r, "state") {
+				out.State = &raftpb.HardState{Term: p(rapid.Uint64Range(1, 9).Draw(r, "term")), Vote: p(uint64(2)), Commit: p(uint64(1))}
+				m.state = out.State
+			}
+			if err := f.Save(out); err != nil {
+				r.Fatal(err)
+			}
+			if rapid.Bool().Draw(r, "rewrite") {
+				if err := f.Rewrite(quorum.Kept{State: m.state, Snapshot: quorum.First([]uint64{1, 2, 3}), Entries: m.entries}); err != nil {
+					r.Fatal(err)
+				}
+			}
+			if rapid.Bool().Draw(r, "torn") { // a write that never came to its end
+				torn, _ := records(nil, quorum.Kept{Entries: []*raftpb.Entry{{Index: p(next), Term: p(uint64(9)), Data: []byte("never acted on")}}})
+				f.file.Write(torn[:rapid.IntRange(1, len(torn)-1).Draw(r, "bytes")])
+			}
+			f.Close()
+		}
+		f, kept, err := Open(path, me)
+		if err != nil {
+			r.Fatal(err)
+		}
+		check(r, kept, m)
+		f.Close()
+	})
+}
+
+func check(r *rapid.T, kept quorum.Kept, m model) {
+	if !proto.Equal(kept.State, m.state) {
+		r.Fatalf("state %v, saved was %v", kept.State, m.state)
+	}
+	if len(kept.Entries) != len(m.entries) {
+		r.Fatalf("%d entries, saved were %d", len(kept.Entries), len(m.entries))
+	}
+	for i, e := range kept.Entries {
+		if !proto.Equal(e, m.entries[i]) {
+			r.Fatalf("entry %v, saved was %v", e, m.entries[i])
+		}
+	}
+}
+
+// What can't be used is refused with its cause, and the file stays as it is.
+func TestRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "votes")
+	if _, _, err := Open(path, me); !errors.Is(err, quorum.ErrBlank) {
+		t.Errorf("missing: %v", err)
+	}
+	if err := Create(path, me, quorum.First([]uint64{1})); err != nil {
+		t.Fatal(err)
+	}
+	if err := Create(path, me, quorum.First([]uint64{1})); err == nil {
+		t.Error("made twice")
+	}
+	f, _, err := Open(path, me)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(path, me); !errors.Is(err, ErrHeld) {
+		t.Errorf("held: %v", err)
+	}
+	for i := range uint64(3) {
+		if err := f.Save(quorum.Output{Synced: true, Entries: []*raftpb.Entry{{Index: p(i + 2), Term: p(uint64(1)), Data: []byte("some data of an entry")}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.Close()
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for what, c := range map[string]struct {
+		change func(b []byte) []byte
+		who    Identity
+		want   error
+	}{
+		"another fleet":      {func(b []byte) []byte { return b }, Identity{"other", 1}, ErrAnother},
+		"another voter":      {func(b []byte) []byte { return b }, Identity{"test", 2}, ErrAnother},
+		"a newer format":     {func(b []byte) []byte { b[7] = '9'; return b }, me, ErrNewer},
+		"no votes":           {func(b []byte) []byte { return []byte("hello, world") }, me, ErrBroken},
+		"empty":              {func(b []byte) []byte { return nil }, me, ErrBroken},
+		"a bit in the midst": {func(b []byte) []byte { b[len(b)-60] ^= 4; return b }, me, ErrBroken},
+		"a record missing": {func(b []byte) []byte {
+			size := (len(b) - bytesBefore(b)) / 3
+			return append(b[:len(b)-2*size:len(b)-2*size], b[len(b)-size:]...)
+		}, me, ErrBroken},
+	} {
+		text := c.change(append([]byte{}, good...))
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Open(path, c.who); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", what, err)
+		}
+		if now, _ := os.ReadFile(path); string(now) != string(text) {
+			t.Errorf("%s: the file was changed", what)
+		}
+	}
+}
+
+// bytesBefore is where the three entries begin.
+func bytesBefore(b []byte) int {
+	at := len(magic)
+	for {
+		kind, _, size, whole := record(b[at:])
+		if !whole || kind == entry {
+			return at
+		}
+		at += size
+	}
+}
+
+// No bytes make it panic, and what it takes is whole.
+func FuzzRead(f *testing.F) {
+	text, _ := whole(me, quorum.Kept{Snapshot: quorum.First([]uint64{1}), Entries: []*raftpb.Entry{{Index: p(uint64(2)), Term: p(uint64(1))}}})
+	f.Add(text)
+	f.Add(text[:len(text)-3])
+	f.Add([]byte(magic))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		kept, good, err := Read(b, me)
+		if err == nil && (good > int64(len(b)) || good < int64(len(magic))) {
+			t.Errorf("%d of %d bytes, %v", good, len(b), kept)
+		}
+	})
+}
