--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,6 +35,8 @@
 
 	askAt, swept, looked, lagged, freed, bell, ends float64
 
+	part float64 // this gateway's of every engine
+
 	job    *job // what the rule that fires is about
 	engine *engine
 }
@@ -72,7 +74,8 @@
 // New makes the module of one gateway.
 func New(seed uint64, set Settings, out Actions) *Brain {
 	b := &Brain{set: set, out: out, dice: dice{seed: seed}, roster: roster{engines: map[uint32]*engine{}},
-		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10), ends: math.Inf(1)}
+		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10), ends: math.Inf(1),
+		part: 1 / float64(set.Gateways)}
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time, at a pace near the best.
@@ -242,7 +245,7 @@
 // share is the part of an engine's memory that this gateway may have granted at once, but for one job of any
 // size. The page's twice never bound before engines thrashed; its floor of a most grant overfilled them.
 func (b *Brain) share(e *engine) float64 {
-	return b.set.Kinds[e.kind].Memory * b.warmth(e) * e.part * e.ease / float64(b.set.Gateways)
+	return b.set.Kinds[e.kind].Memory * b.warmth(e) * e.part * e.ease * b.part
 }
 
 // patient tells whether engines have a line of their own that lets short jobs first and so bears long ones.
@@ -253,7 +256,7 @@
 func (b *Brain) fits(j *job, e *engine, pool float64) bool {
 	k := b.set.Kinds[e.kind]
 	_, counted := b.grant(j, k)
-	crowd := (e.tally+counted)*float64(b.set.Gateways) > k.Memory && !b.patient()
+	crowd := e.tally+counted > k.Memory*b.part && !b.patient()
 	pressed := b.warmth(e) < 1 && !b.rotates() || e.slow > 2 || e.fullUntil > 0 && b.now < e.fullUntil+2 || crowd
 	return (!pressed || e.tally == 0 || e.tally+counted <= b.share(e)) &&
 		(j.class.tally+counted <= pool || j.class.tally == 0 && b.now > j.taken+2) // none waits for good
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -144,6 +144,37 @@
 	b.settle()
 }
 
+// Part tells this gateway's part of every engine, where a fleet divides them; until then it is an even one.
+func (b *Brain) Part(now, part float64) {
+	b.now, b.part = now, part
+	b.settle()
+}
+
+// Use tells what part of the memory of all engines is granted to this gateway's jobs, and would be with those held.
+func (b *Brain) Use() (used, wanted float64) {
+	all := 0.0
+	for _, e := range b.roster.fleet {
+		all += b.set.Kinds[e.kind].Memory
+	}
+	for _, c := range b.classes {
+		used += c.tally
+		for _, j := range c.queue {
+			_, counted := b.grant(j, b.set.Kinds[0])
+			wanted += counted
+		}
+	}
+	return used / max(all, 1), (used + wanted) / max(all, 1)
+}
+
+// Grant is the most that a job of a class would be granted now on any kind of machine, in MB.
+func (b *Brain) Grant(class int, memory float64) (most float64) {
+	for _, k := range b.set.Kinds {
+		_, counted := b.grant(&job{class: b.classes[class], memory: memory}, k)
+		most = max(most, counted)
+	}
+	return most
+}
+
 // Ends tells that the gateway ends then: no job's time goes beyond, and what can't be done by then gives way.
 func (b *Brain) Ends(now, at float64) {
 	b.now, b.ends = now, at
--- a/cmd/copperrock/check.go
+++ b/cmd/copperrock/check.go
@@ -58,11 +58,11 @@
 			return nil, err
 		}
 		if file == "" {
-			return operator.Platform(c), nil
+			return operator.Platform(c, fleetSection), nil
 		}
 		told = &c
 	}
-	return operator.Read(file, told)
+	return operator.Read(file, told, fleetSection)
 }
 
 func readList(file string, b members.Bounds) (members.List, error) {
--- /dev/null
+++ b/cmd/copperrock/fleet.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"copperrock.example/copperrock/internal/base/operator"
+	"copperrock.example/copperrock/internal/base/schema"
+	"copperrock.example/copperrock/internal/fleet"
+	"copperrock.example/copperrock/internal/gateway"
+)
+
+// What a fleet divides is named by these.
+const (
+	teamQuantity    = "team/"
+	enginesQuantity = "engines"
+)
+
+// fleetSection is the section of the operator's settings on the fleet.
+var fleetSection = operator.Section{Name: "fleet", Text: fleet.About, Declare: func(s *operator.Settings, o *schema.Object) any {
+	f := &fleet.Options{Self: s.Name}
+	f.Declare(o)
+	for _, b := range s.Teams.Budgets {
+		switch {
+		case b.Fleet && !f.On():
+			o.Fault("voters", "are missing: team %s has a budget of scope fleet", b.Name)
+		case b.Fleet:
+			f.Divides(teamQuantity+b.Name, b.Most)
+		}
+	}
+	if f.Engines && f.On() {
+		f.Divides(enginesQuantity, 1)
+	}
+	return f
+}}
+
+// fleetOf is what the settings say of the fleet; none is nil.
+func fleetOf(s *operator.Settings) *fleet.Options {
+	f, _ := s.More[fleetSection.Name].(*fleet.Options)
+	return f
+}
+
+// spends lets a gateway hold parts.
+type spends struct {
+	gateway *gateway.Gateway
+	options *fleet.Options
+}
+
+// Uses tells what the gateway uses of each quantity.
+func (s spends) Uses() (uses []fleet.Use) {
+	for _, q := range s.options.Quantities {
+		var u gateway.Use
+		if team, is := strings.CutPrefix(q.Name, teamQuantity); is {
+			u = s.gateway.TeamUse(team)
+		} else {
+			u = s.gateway.EnginesUse()
+		}
+		uses = append(uses, fleet.Use{Name: q.Name, Used: u.Used, Wanted: u.Wanted})
+	}
+	return uses
+}
+
+// Parts tells the gateway what it may use.
+func (s spends) Parts(shares []fleet.Share) {
+	for _, share := range shares {
+		part := gateway.Share{Limit: share.Limit, Open: share.Leased}
+		if team, is := strings.CutPrefix(share.Name, teamQuantity); is {
+			s.gateway.TeamPart(team, part)
+		} else {
+			s.gateway.EnginesPart(part)
+		}
+	}
+}
+
+type fleetSettings struct {
+	Settings string `env:"COPPERROCK_SETTINGS" placeholder:"FILE" help:"The operator's settings; docs/settings.md lists them."`
+}
+
+func (c fleetSettings) read() (*fleet.Options, error) {
+	s, err := read(c.Settings, "")
+	if err != nil {
+		return nil, err
+	}
+	f := fleetOf(s)
+	if !f.On() {
+		return nil, fmt.Errorf("%s: names no voters, so there is no fleet", c.Settings)
+	}
+	return f, nil
+}
+
+type fleetInit struct{ fleetSettings }
+
+// Run makes the votes of this voter of a new fleet.
+func (c *fleetInit) Run(out io.Writer) error {
+	f, err := c.read()
+	if err != nil {
+		return err
+	}
+	if err := fleet.Init(f); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: votes of %s in the new fleet %s\n", f.VotesPath(), f.Self, f.Name)
+	return nil
+}
+
+type fleetStatus struct {
+	fleetSettings
+	Within time.Duration `default:"3s" help:"How long to wait for a voter."`
+}
+
+// Run prints what the voters know.
+func (c *fleetStatus) Run(out io.Writer) error {
+	f, err := c.read()
+	if err != nil {
+		return err
+	}
+	var best *fleet.View
+	for _, v := range f.Voters {
+		ctx, cancel := context.WithTimeout(context.Background(), c.Within)
+		view, err := fleet.Look(ctx, f, v.Address)
+		cancel()
+		if err != nil {
+			fmt.Fprintf(out, "%s at %s: %v\n", v.Name, v.Address, err)
+			continue
+		}
+		what := "follows"
+		if view.Leads {
+			what = "leads"
+		}
+		fmt.Fprintf(out, "%s at %s: %s, term %d\n", v.Name, v.Address, what, view.Term)
+		if best == nil || view.Leads && (!best.Leads || view.Term > best.Term) {
+			best = &view
+		}
+	}
+	if best == nil {
+		return fmt.Errorf("no voter of %s answers", f.Name)
+	}
+	printView(out, *best)
+	return nil
+}
+
+// printView prints the parts of each quantity and their sums.
+func printView(out io.Writer, view fleet.View) {
+	fmt.Fprintf(out, "\n%d controllers, generation %d of what is divided\n", len(view.Controllers), view.Generation)
+	for _, q := range view.Quantities {
+		w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintf(out, "\n%s: %.6g, %.6g of it set aside\n", q.Name, q.Whole, q.Aside)
+		fmt.Fprintln(w, "controller\tmay use\tbound to\tuses\twould use\t")
+		amount, bound := 0.0, 0.0
+		for _, p := range q.Parts {
+			fmt.Fprintf(w, "%s\t%.6g\t%.6g\t%.6g\t%.6g\t\n", p.Controller, p.Amount, p.Bound, p.Used, p.Wanted)
+			amount, bound = amount+p.Amount, bound+p.Bound
+		}
+		fmt.Fprintf(w, "all\t%.6g\t%.6g\t\t\t\n", amount, bound)
+		w.Flush()
+	}
+}
+
+type fleetCheck struct {
+	First  string `arg:"" help:"One controller's settings."`
+	Second string `arg:"" help:"Another's."`
+}
+
+// Run tells in what two controllers' settings disagree.
+func (c *fleetCheck) Run(out io.Writer) error {
+	var both [2]*fleet.Options
+	for i, file := range []string{c.First, c.Second} {
+		f, err := fleetSettings{file}.read()
+		if err != nil {
+			return err
+		}
+		both[i] = f
+	}
+	wrong := fleet.Compare(both[0], both[1])
+	for _, w := range wrong {
+		fmt.Fprintln(out, w)
+	}
+	if len(wrong) > 0 {
+		return errTold
+	}
+	fmt.Fprintf(out, "%s and %s agree\n", c.First, c.Second)
+	return nil
+}
--- /dev/null
+++ b/cmd/copperrock/fleet_test.go
@@ -0,0 +1,385 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"copperrock.example/copperrock/internal/fleet"
+	lab "copperrock.example/copperrock/internal/lab/fleet"
+	"copperrock.example/copperrock/internal/lab/standin"
+)
+
+// budgetSettings are a controller's in a fleet that divides one team's budget. VOTERS are named as this controller
+// reaches them, over relays.
+const budgetSettings = `{"name": "NAME", "listen": "LISTEN", "seed": "SEED",
+  "machine": {"memory_mb": 64, "sockets": 256}, "log": {"level": "info"}, "clients": {"idle": 600, "first_message": 600},
+  "leaving": {"stay": 0.1, "longest": 1},
+  "deployment": {"gateways": COUNT, "index": INDEX, "zones": ["here"],
+    "kinds": [{"name": "small", "cores": 64, "memory_mb": 2000}],
+    "types": [{"name": "job", "repeat": "restartable", "job_timeout": 1.5, "sla": 1.5, "threads": 0.1}],
+    "engines": {"report": ["busy_reqs"], "probing": false, "streams": 32}, "rules": {"come_back": 0.2}},
+  "engines": {"file": "ENGINES"}, "requests": {"team": "team"},
+  "teams": {"default": "all", "budgets": [{"name": "all", "scope": "fleet", "most_mb": WHOLE, "waiting": 20}]},
+  "fleet": {"voters": [VOTERS], OWN "folder": "FOLDER", "lease": 1, "linger": 1.6, "beat": 0.03, "divide": 0.1, "reserve": 0.02, "controllers": 8}}`
+
+// budgeted is a fleet of real processes that share one budget, with what the engines themselves saw of it.
+type budgeted struct {
+	*crowd
+	whole   float64
+	names   []string
+	voters  map[string]string // the addresses at which they listen
+	options map[string]*fleet.Options
+	clients sync.WaitGroup
+	end     context.CancelFunc
+
+	mu      sync.Mutex
+	running map[string]float64 // grants of dispatches at the engines
+	most    float64
+	answers map[string]map[standin.Outcome]int // by controller
+	back    map[string]float64                 // the latest word on when to come back
+	twice   int
+}
+
+func newBudgeted(t *testing.T, controllers int, whole float64) *budgeted {
+	b := &budgeted{whole: whole, voters: map[string]string{}, options: map[string]*fleet.Options{}, running: map[string]float64{},
+		answers: map[string]map[standin.Outcome]int{}, back: map[string]float64{}}
+	b.crowd = newCrowd(t, 3, 1, func(i int, e *standin.Engine) { e.Cores, e.Memory, e.Tell = 64, 1e9, b.see })
+	for i := range controllers {
+		b.names = append(b.names, fmt.Sprintf("c%d", i))
+	}
+	for _, name := range b.names[:3] {
+		b.voters[name] = free(t)
+	}
+	for i, name := range b.names {
+		var voters []string
+		for _, v := range b.names[:3] {
+			address := b.voters[v]
+			if v != name {
+				r, err := b.Between(name, v, address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				address = r.Address
+			}
+			voters = append(voters, fmt.Sprintf(`{"name": %q, "address": %q}`, v, address))
+		}
+		own := ""
+		if at, votes := b.voters[name]; votes {
+			own = fmt.Sprintf(`"listen": %q,`, at)
+		}
+		text := strings.NewReplacer("COUNT", fmt.Sprint(controllers), "INDEX", fmt.Sprint(i), "WHOLE", fmt.Sprint(whole), "VOTERS", strings.Join(voters, ", "),
+			"OWN", own, "FOLDER", b.Folder).Replace(budgetSettings)
+		b.controller(name, text)
+		s, err := read(filepath.Join(b.Folder, name+".jsonc"), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.options[name] = fleetOf(s)
+		if _, votes := b.voters[name]; votes {
+			if err := fleet.Init(b.options[name]); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := b.Start(b.names...); err != nil {
+		t.Fatal(err)
+	}
+	b.up()
+	return b
+}
+
+// see follows what is in use at the engines, by their own word.
+func (b *budgeted) see(s standin.Seen) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := s.Engine + " " + s.Ref
+	switch s.Do {
+	case "asked":
+		if _, there := b.running[key]; there {
+			b.twice++
+		}
+		b.running[key] = s.Grant
+	default:
+		delete(b.running, key)
+	}
+	sum := 0.0
+	for _, grant := range b.running {
+		sum += grant
+	}
+	b.most = max(b.most, sum)
+}
+
+// load has a client at each controller ask for more than its part all the time, until the fleet ends.
+func (b *budgeted) load(each float64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.end = cancel
+	for i, address := range b.addresses {
+		name := b.names[i]
+		b.answers[name] = map[standin.Outcome]int{}
+		b.clients.Go(func() {
+			var jobs sync.WaitGroup
+			defer jobs.Wait()
+			var client *standin.Client
+			for n := 0; ctx.Err() == nil; n++ {
+				if client == nil {
+					var err error
+					if client, err = standin.Dial(address); err != nil {
+						time.Sleep(20 * time.Millisecond)
+						continue
+					}
+				}
+				c, ref := client, fmt.Sprintf("%04x%012x", i, n)
+				lost := make(chan bool, 1)
+				jobs.Go(func() {
+					a := c.Ask(context.Background(), standin.Job{Ref: ref, Type: "job", Allow: 1.5, Work: 0.1, Memory: 30, Statement: "/* work=0.1 mb=30 */ select 1"})
+					b.mu.Lock()
+					b.answers[name][a.Outcome]++
+					if a.Outcome == standin.Throttled {
+						b.back[name] = a.ComeBack
+					}
+					b.mu.Unlock()
+					lost <- a.Outcome == standin.Lost
+				})
+				time.Sleep(time.Duration(each * float64(time.Second)))
+				select {
+				case gone := <-lost:
+					if gone {
+						c.Close()
+						client = nil
+					}
+				default:
+				}
+			}
+			if client != nil {
+				defer client.Close()
+				jobs.Wait()
+			}
+		})
+	}
+}
+
+func (b *budgeted) count(name string, o standin.Outcome) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.answers[name][o]
+}
+
+// view asks the voters themselves; the one that leads with the latest term counts.
+func (b *budgeted) view() (best fleet.View, leader string) {
+	for _, name := range b.names[:3] {
+		if !b.Process(name).Runs() || b.Process(name).Frozen() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		v, err := fleet.Look(ctx, b.options["c0"], b.voters[name])
+		cancel()
+		if err == nil && v.Leads && v.Term > best.Term {
+			best, leader = v, name
+		}
+	}
+	return best, leader
+}
+
+// parts are what the leader's ledger says that each controller may spend, and how much in all.
+func (b *budgeted) parts() (all map[string]float64, sum float64) {
+	v, _ := b.view()
+	all = map[string]float64{}
+	for _, q := range v.Quantities {
+		for _, p := range q.Parts {
+			all[p.Controller] += p.Amount
+			sum += p.Amount
+		}
+	}
+	return all, sum
+}
+
+// wait waits for a state and tells how long that took.
+func (b *budgeted) wait(what string, holds func() bool) float64 {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	began := time.Now()
+	if err := lab.Until(ctx, what, holds); err != nil {
+		v, leader := b.view()
+		b.t.Errorf("%v; leader %s, %+v", err, leader, v)
+		for _, name := range b.names {
+			b.t.Log(name, b.Tail(name, 1500))
+		}
+		b.t.FailNow()
+	}
+	took := time.Since(began).Seconds()
+	b.t.Logf("%.2f s until %s", took, what)
+	return took
+}
+
+// divided tells whether these controllers, and no others, hold nearly all.
+func (b *budgeted) divided(names ...string) func() bool {
+	return func() bool {
+		parts, sum := b.parts()
+		for _, name := range names {
+			if parts[name] < 0.02*b.whole {
+				return false
+			}
+		}
+		n := 0
+		for _, part := range parts {
+			if part > 0 {
+				n++
+			}
+		}
+		return n == len(names) && sum > 0.85*b.whole
+	}
+}
+
+// Five processes divide a budget of 600 MB, each with more work than its part. Whatever of them fails, the engines' own
+// log never shows more in use: a leader killed and started again, a controller frozen for longer than its lease and
+// what it may have running, one cut off, a leader cut off from its quorum but not from its holders, slow links.
+func TestFleetBudgetOverFaults(t *testing.T) {
+	b := newBudgeted(t, 5, 600)
+	b.wait("all five have parts", b.divided("c0", "c1", "c2", "c3", "c4"))
+	b.load(0.02)
+	b.wait("all five serve", func() bool {
+		for _, name := range b.names {
+			if b.count(name, standin.Done) < 5 {
+				return false
+			}
+		}
+		return true
+	})
+
+	// A leader is killed: another leads, and its part is divided among the rest.
+	_, leader := b.view()
+	b.Process(leader).Kill()
+	rest := without(b.names, leader)
+	b.wait("the killed leader's part is divided", b.divided(rest...))
+	if err := b.Process(leader).Start(); err != nil {
+		t.Fatal(err)
+	}
+	b.wait("it has a part again", b.divided(b.names...))
+
+	// A controller is frozen with jobs out, for longer than anything of it holds; then it goes on.
+	b.Process("c4").Freeze()
+	b.wait("the frozen one's part is divided", b.divided("c0", "c1", "c2", "c3"))
+	b.Process("c4").Thaw()
+	done := b.count("c4", standin.Done)
+	b.wait("it serves again", func() bool { return b.count("c4", standin.Done) > done+5 })
+
+	// One is cut off: it answers at once, with a word on when to come back, and takes up a part without being restarted.
+	b.Isolate("c3", lab.Both)
+	b.wait("the cut off one's part is divided", b.divided("c0", "c1", "c2", "c4"))
+	b.wait("it says that its lease is over", func() bool { return strings.Contains(b.Tail("c3", 1<<20), "floors hold") })
+	throttled := b.count("c3", standin.Throttled)
+	b.wait("it turns away", func() bool { return b.count("c3", standin.Throttled) > throttled+20 })
+	b.mu.Lock()
+	if b.back["c3"] <= 0 || b.back["c3"] > 2 {
+		t.Errorf("a job turned away may come back in %g s", b.back["c3"])
+	}
+	b.mu.Unlock()
+	b.Isolate("c3", lab.Link{})
+	done = b.count("c3", standin.Done)
+	b.wait("it serves again", func() bool { return b.count("c3", standin.Done) > done+5 })
+	if n := b.Process("c3").Starts(); n != 1 {
+		t.Errorf("c3 was started %d times", n)
+	}
+
+	// A leader cut off from the other voters, but not from those who hold of it.
+	v, leader := b.view()
+	b.Join([]string{leader}, without(b.names[:3], leader), lab.Both)
+	b.wait("another leads", func() bool { now, other := b.view(); return other != leader && now.Term > v.Term })
+	b.Join([]string{leader}, without(b.names[:3], leader), lab.Link{})
+
+	// Slow links between all, and connections lost: leases hold.
+	b.Join([]string{"*"}, []string{"*"}, lab.Link{Delay: 30 * time.Millisecond})
+	b.wait("all have parts over slow links", b.divided(b.names...))
+	b.Join([]string{"*"}, []string{"*"}, lab.Link{})
+	b.finish()
+}
+
+// Without a quorum nothing is divided anew; with it all goes on. All of the fleet is killed at once and starts again with
+// its votes.
+func TestFleetWithoutQuorum(t *testing.T) {
+	b := newBudgeted(t, 4, 400)
+	b.wait("all four have parts", b.divided("c0", "c1", "c2", "c3"))
+	b.load(0.02)
+	b.wait("c3 serves", func() bool { return b.count("c3", standin.Done) > 5 })
+	b.Process("c0").Kill()
+	b.Process("c1").Kill()
+	b.wait("c3 has only its floor", func() bool { return strings.Contains(b.Tail("c3", 1<<20), "floors hold") })
+	throttled := b.count("c3", standin.Throttled)
+	b.wait("and turns away", func() bool { return b.count("c3", standin.Throttled) > throttled+20 })
+	if _, leader := b.view(); leader != "" && leader != "c2" {
+		t.Errorf("%s leads", leader)
+	}
+	for _, name := range b.names {
+		b.Process(name).Kill()
+	}
+	if err := b.Start(b.names...); err != nil {
+		t.Fatal(err)
+	}
+	b.up()
+	b.wait("all four have parts again", b.divided("c0", "c1", "c2", "c3"))
+	done := b.count("c3", standin.Done)
+	b.wait("c3 serves", func() bool { return b.count("c3", standin.Done) > done+5 })
+	b.finish()
+}
+
+// finish ends the load and checks what the engines saw.
+func (b *budgeted) finish() {
+	b.t.Helper()
+	b.end()
+	b.clients.Wait()
+	b.wait("nothing is in use any more", func() bool {
+		v, _ := b.view()
+		for _, q := range v.Quantities {
+			for _, p := range q.Parts {
+				if p.Used > 0 {
+					return false
+				}
+			}
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(v.Quantities) > 0 && len(b.running) == 0
+	})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.t.Logf("most in use at the engines at once: %.0f of %.0f MB; answers %v", b.most, b.whole, b.answers)
+	if b.most > b.whole {
+		b.t.Errorf("B2: %.0f of %.0f MB were in use at the engines", b.most, b.whole)
+	}
+	if b.most < b.whole/2 {
+		b.t.Errorf("only %.0f of %.0f MB were ever in use", b.most, b.whole)
+	}
+	if b.twice > 0 {
+		b.t.Errorf("%d dispatches went twice to an engine at once", b.twice)
+	}
+}
+
+func without(names []string, name string) (rest []string) {
+	for _, n := range names {
+		if n != name {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
+
+// What the settings of a fleet may get wrong, and what is told of two that disagree.
+func TestFleetSettings(t *testing.T) {
+	if f := (*fleet.Options)(nil); f.On() {
+		t.Error("no options are a fleet")
+	}
+	x := &fleet.Options{Name: "a", Self: "c0", Voters: []fleet.Voter{{Name: "c0"}, {Name: "c1"}, {Name: "c2"}}, Lease: 1, Most: 8, Generation: 1}
+	y := &fleet.Options{Name: "a", Self: "c1", Voters: x.Voters, Lease: 2, Most: 8, Generation: 1}
+	x.Divides("team/a", 100)
+	y.Divides("team/a", 200)
+	y.Divides("team/b", 1)
+	if got := strings.Join(fleet.Compare(x, y), "; "); got != "fleet.lease: 1 and 2; team/a: 100 and 200; team/b: not divided, and 1" {
+		t.Error(got)
+	}
+}
--- a/cmd/copperrock/main.go
+++ b/cmd/copperrock/main.go
@@ -19,6 +19,11 @@
 		Check enginesCheck `cmd:"" help:"Check a list of engines."`
 		Diff  enginesDiff  `cmd:"" help:"Tell what leads from one list of engines to another, and whether it would be taken."`
 	} `cmd:"" help:"Work on files that list engines."`
+	Fleet struct {
+		Init   fleetInit   `cmd:"" help:"Make this voter's votes in a new fleet. It is never done for a fleet that runs."`
+		Status fleetStatus `cmd:"" help:"Tell who lives, who leads, and each quantity's whole, parts and use."`
+		Check  fleetCheck  `cmd:"" help:"Compare the settings of two controllers and name what disagrees."`
+	} `cmd:"" help:"Work on the fleet that the settings name."`
 	Demo    demoCommand    `cmd:"" help:"Run a controller among stand-in engines for some seconds, and tell what became of its jobs."`
 	Version versionCommand `cmd:"" help:"Tell the version."`
 }
--- a/cmd/copperrock/run.go
+++ b/cmd/copperrock/run.go
@@ -21,6 +21,7 @@
 	"copperrock.example/copperrock/internal/base/logging"
 	"copperrock.example/copperrock/internal/base/operator"
 	"copperrock.example/copperrock/internal/client"
+	"copperrock.example/copperrock/internal/fleet"
 	"copperrock.example/copperrock/internal/gateway"
 	"copperrock.example/copperrock/internal/members"
 	"copperrock.example/copperrock/internal/members/channel"
@@ -102,6 +103,10 @@
 	if c.spied != nil {
 		c.spied(g, pool, server)
 	}
+	if f := fleetOf(s); f.On() {
+		place := fleet.New(f, spends{g, f}, c.logs.Part("fleet"))
+		group.Go(func() error { return place.Run(ctx) })
+	}
 	follow := c.follow(ctx, group, g, log)
 	group.Go(func() error { return g.Run(ctx) })
 	group.Go(func() error {
@@ -217,6 +222,7 @@
 	differs("engines", s.Engines, next.Engines)
 	differs("teams, but for the budgets", s.Teams.Rules, next.Teams.Rules)
 	differs("requests", s.Fields, next.Fields)
+	differs("fleet", fleetOf(s), fleetOf(next))
 	switch {
 	case len(s.Teams.Budgets) > 0 && len(next.Teams.Budgets) > 0:
 		if err := g.Reteam(next.Teams.Budgets); err != nil {
--- a/cmd/copperrock/soak_test.go
+++ b/cmd/copperrock/soak_test.go
@@ -29,8 +29,8 @@
 
 const patience = 30 * time.Second // ends a test that hangs; no verdict rests on it
 
-// fleet is a whole controller that follows a file, among stand-ins that carry traffic.
-type fleet struct {
+// alone is a whole controller that follows a file, among stand-ins that carry traffic.
+type alone struct {
 	t       testing.TB
 	rules   *check.Rules
 	engines []*standin.Engine
@@ -46,8 +46,8 @@
 	running errgroup.Group
 }
 
-func newFleet(t testing.TB, engines int, faults map[standin.Fault]float64) *fleet {
-	f := &fleet{t: t, decided: make(chan members.Decision, 10000)}
+func newFleet(t testing.TB, engines int, faults map[standin.Fault]float64) *alone {
+	f := &alone{t: t, decided: make(chan members.Decision, 10000)}
 	f.rules = &check.Rules{Grace: 1, Late: 1, Keyed: 5, Window: 10, Free: 10, Share: 0.2} // Late: for a machine that stands still
 	for i := range engines {
 		e := &standin.Engine{Name: fmt.Sprintf("e%d", i), Cores: 8, Speed: 1, Memory: 8192, Seed: uint64(i), Tell: f.tell, Faults: faults}
@@ -60,7 +60,7 @@
 	return f
 }
 
-func (f *fleet) tell(s standin.Seen) {
+func (f *alone) tell(s standin.Seen) {
 	f.rules.Seen(s)
 	if f.seen != nil {
 		f.seen(s)
@@ -68,7 +68,7 @@
 }
 
 // serve starts the controller on the file.
-func (f *fleet) serve(file string, change func(*operator.Settings)) {
+func (f *alone) serve(file string, change func(*operator.Settings)) {
 	s, err := operator.Parse("demo.jsonc", demoSettings, nil)
 	if err != nil {
 		f.t.Fatal(err)
@@ -98,7 +98,7 @@
 	f.running.Go(func() error { return c.run(term) })
 }
 
-func (f *fleet) stop() {
+func (f *alone) stop() {
 	f.end()
 	if err := f.running.Wait(); err != nil {
 		f.t.Error(err)
@@ -108,7 +108,7 @@
 	}
 }
 
-func (f *fleet) next() members.Decision {
+func (f *alone) next() members.Decision {
 	f.t.Helper()
 	select {
 	case d := <-f.decided:
@@ -119,7 +119,7 @@
 	}
 }
 
-func (f *fleet) mix(rate float64, seed uint64) *load.Mix {
+func (f *alone) mix(rate float64, seed uint64) *load.Mix {
 	return &load.Mix{Clients: 6, Seed: seed, DataSet: 20, Types: []load.Type{
 		{Name: "lookup", Effect: brain.Restartable, Rate: 0.7 * rate, Work: 0.02, Memory: 32, Allow: 1, Pages: 1},
 		{Name: "report", Effect: brain.Restartable, Rate: 0.2 * rate, Work: 0.1, Memory: 256, Allow: 4, Pages: 3},
--- a/cmd/copperrock/teams_test.go
+++ b/cmd/copperrock/teams_test.go
@@ -23,7 +23,7 @@
 
 // quarter is a day at its close: what became of it, by team.
 type quarter struct {
-	*fleet
+	*alone
 	mu       sync.Mutex
 	told     map[string]standin.Told // the first, by ref
 	sent     map[string]float64
@@ -43,7 +43,7 @@
 	if err := os.WriteFile(file, members.List{Generation: 1, Engines: c.all}.Print(), 0o644); err != nil {
 		c.t.Fatal(err)
 	}
-	c.fleet.serve(file, func(s *operator.Settings) {
+	c.alone.serve(file, func(s *operator.Settings) {
 		s.Config.Settings.Brain.Kinds[0].Cores = c.engines[0].Cores
 		s.Config.Settings.Brain.Kinds[0].Memory = c.engines[0].Memory
 		s.Engines.MostRemoved = 1
@@ -59,7 +59,7 @@
 }
 
 func newQuarter(t testing.TB, engines int, cores float64) *quarter {
-	c := &quarter{fleet: newFleet(t, engines, nil), told: map[string]standin.Told{}, sent: map[string]float64{}, asked: map[string]float64{},
+	c := &quarter{alone: newFleet(t, engines, nil), told: map[string]standin.Told{}, sent: map[string]float64{}, asked: map[string]float64{},
 		teamOf: map[string]string{}, waiting: map[string]int{}, since: map[string]float64{}, unserved: map[string]float64{},
 		value: map[string]float64{}, work: map[string]float64{}, began: time.Now(), bySecond: map[string][]float64{}}
 	for _, e := range c.engines {
--- a/internal/base/operator/operator.go
+++ b/internal/base/operator/operator.go
@@ -31,6 +31,14 @@
 	Engines Engines
 	Fields  struct{ Team, Customer, Key, Wait string } // of a request
 	Teams   Teams
+	More    map[string]any // what further sections read, by their names
+}
+
+// Section is a part of the file that another part of the program declares. Declare is called once the rest has been
+// read, and gives what it has read.
+type Section struct {
+	Name, Text string
+	Declare    func(s *Settings, o *schema.Object) any
 }
 
 // Teams are the budgets; none without Budgets.
@@ -50,9 +58,9 @@
 }
 
 // Platform gives the settings of a controller that has no file of the operator's.
-func Platform(c config.Config) *Settings {
+func Platform(c config.Config, more ...Section) *Settings {
 	s := &Settings{Config: c}
-	blank := schema.Read("", []byte("{}"), schema.Usual, s.declare)
+	blank := schema.Read("", []byte("{}"), schema.Usual, s.declared(more))
 	if blank != nil { // only what the platform has not told can be missing
 		panic(blank)
 	}
@@ -61,21 +69,21 @@
 
 // Read reads the operator's file over what the platform tells, nil where there is no platform. The error is
 // schema.Faults where the file could be read.
-func Read(file string, platform *config.Config) (*Settings, error) {
+func Read(file string, platform *config.Config, more ...Section) (*Settings, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
-	return Parse(file, text, platform)
+	return Parse(file, text, platform, more...)
 }
 
 // Parse reads a text as Read does a file.
-func Parse(file string, text []byte, platform *config.Config) (*Settings, error) {
+func Parse(file string, text []byte, platform *config.Config, more ...Section) (*Settings, error) {
 	s := &Settings{}
 	if platform != nil {
 		s.Config = *platform
 	}
-	if err := schema.Read(file, text, schema.Usual, s.declare); err != nil {
+	if err := schema.Read(file, text, schema.Usual, s.declared(more)); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -93,7 +101,18 @@
 }
 
 // Describe lists all options.
-func Describe() []schema.Option { return schema.Describe(new(Settings).declare) }
+func Describe(more ...Section) []schema.Option { return schema.Describe(new(Settings).declared(more)) }
+
+// declared declares all, the further sections last.
+func (s *Settings) declared(more []Section) func(*schema.Object) {
+	return func(o *schema.Object) {
+		s.declare(o)
+		s.More = map[string]any{}
+		for _, one := range more {
+			o.Object(one.Name, one.Text, func(o *schema.Object) { s.More[one.Name] = one.Declare(s, o) })
+		}
+	}
+}
 
 func (s *Settings) declare(o *schema.Object) {
 	alone := len(s.Config.Settings.Classes) == 0 // no platform
@@ -278,12 +297,18 @@
 		b := teams.Budget{}
 		o.Text(&b.Name, "name", "as the request field has it", schema.Required(), schema.Check(word))
 		o.Text(&b.Parent, "parent", "team whose budget bounds this one's")
+		scope := ""
+		o.Text(&scope, "scope", "fleet: most_mb is that of all controllers together, divided among them as the section fleet has it", schema.Default("gateway"), schema.OneOf("gateway", "fleet"))
+		b.Fleet = scope == "fleet"
 		o.Number(&b.Guaranteed, "guaranteed_mb", "memory of grants that goes before all borrowing", schema.Default(0.0), schema.Between(0, 1e9), schema.Unit("MB"))
 		o.Number(&b.Most, "most_mb", "memory of grants at once; 0 for no bound", schema.Default(0.0), schema.Between(0, 1e9), schema.Unit("MB"))
 		o.Number(&b.Weight, "weight", "part of what is left; 0 gets what no other wants", schema.Default(1.0), schema.Between(0, 1000))
 		schema.Whole(o, &b.Running, "running", "jobs at once; 0 for no bound", schema.Default(0), schema.Between(0, 1e6))
 		schema.Whole(o, &b.Waiting, "waiting", "jobs at once; more are refused; 0 for no bound", schema.Default(1000), schema.Between(0, 1e6))
 		seconds(o, &b.LongestWait, "longest_wait", "after which a job is refused; 0 for none", 0, 0, 86400)
+		if b.Fleet && b.Most == 0 {
+			o.Fault("scope", "needs most_mb, the whole that is divided")
+		}
 		t.Budgets = append(t.Budgets, b)
 	})
 	if len(t.Budgets) == 0 {
--- a/internal/base/operator/operator_test.go
+++ b/internal/base/operator/operator_test.go
@@ -11,6 +11,7 @@
 	"copperrock.example/copperrock/internal/base/config"
 	"copperrock.example/copperrock/internal/base/schema"
 	"copperrock.example/copperrock/internal/base/settings"
+	"copperrock.example/copperrock/internal/fleet"
 	"copperrock.example/copperrock/internal/lab/testkit"
 	"copperrock.example/copperrock/internal/members"
 )
@@ -29,7 +30,7 @@
 Where a platform tells the program what to do (` + "`LB_CONFIG`" + `), that holds for all that this file leaves out; what stands in this
 file goes first. A ` + "`deployment`" + ` given here replaces the platform's whole. This page is written from the declarations in
 ` + "`internal/base/operator`" + ` and ` + "`internal/members`" + `.
-` + schema.Markdown(Describe()) + `
+` + schema.Markdown(Describe(fleetSection)) + `
 # The list of engines
 
 The file that ` + "`engines.file`" + ` names; ` + "`docs/operators/engines-file.md`" + ` tells how it is followed.
@@ -120,3 +121,10 @@
 		t.Errorf("%v, %+v", err, whole)
 	}
 }
+
+// fleetSection is declared as the program does it.
+var fleetSection = Section{Name: "fleet", Text: fleet.About, Declare: func(_ *Settings, o *schema.Object) any {
+	f := &fleet.Options{}
+	f.Declare(o)
+	return f
+}}
--- /dev/null
+++ b/internal/fleet/compare.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"copperrock.example/copperrock/internal/fleet/ledger"
+)
+
+// Compare tells in what the settings of two controllers disagree that all of a fleet must hold alike. The addresses of
+// voters may differ: each controller names them as it reaches them.
+func Compare(x, y *Options) (wrong []string) {
+	differ := func(name string, a, b any) {
+		if fmt.Sprint(a) != fmt.Sprint(b) {
+			wrong = append(wrong, fmt.Sprintf("fleet.%s: %v and %v", name, a, b))
+		}
+	}
+	names := func(f *Options) (all []string) {
+		for _, v := range f.Voters {
+			all = append(all, v.Name)
+		}
+		return all
+	}
+	differ("name", x.Name, y.Name)
+	differ("voters", names(x), names(y))
+	differ("lease", x.Lease, y.Lease)
+	differ("drift", x.Drift, y.Drift)
+	differ("linger", x.Linger, y.Linger)
+	differ("floors", x.Floors, y.Floors)
+	differ("controllers", x.Most, y.Most)
+	differ("generation", x.Generation, y.Generation)
+	if x.Self == y.Self {
+		wrong = append(wrong, fmt.Sprintf("name: both are %s", x.Self))
+	}
+	byName := func(a, b ledger.Quantity) int { return cmp.Compare(a.Name, b.Name) }
+	a, b := slices.SortedFunc(slices.Values(x.Quantities), byName), slices.SortedFunc(slices.Values(y.Quantities), byName)
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || len(a) > 0 && a[0].Name < b[0].Name:
+			wrong = append(wrong, fmt.Sprintf("%s: %g, and not divided", a[0].Name, a[0].Whole))
+			a = a[1:]
+		case len(a) == 0 || b[0].Name < a[0].Name:
+			wrong = append(wrong, fmt.Sprintf("%s: not divided, and %g", b[0].Name, b[0].Whole))
+			b = b[1:]
+		default:
+			if a[0].Whole != b[0].Whole {
+				wrong = append(wrong, fmt.Sprintf("%s: %g and %g", a[0].Name, a[0].Whole, b[0].Whole))
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	return wrong
+}
--- /dev/null
+++ b/internal/fleet/options.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+
+	"copperrock.example/copperrock/internal/base/schema"
+	"copperrock.example/copperrock/internal/fleet/division"
+	"copperrock.example/copperrock/internal/fleet/ledger"
+	"copperrock.example/copperrock/internal/fleet/part"
+	"copperrock.example/copperrock/internal/fleet/quorum"
+)
+
+// Voter is one of the few controllers that keep the ledger.
+type Voter struct {
+	Name, Address string
+}
+
+// Options are the operator's settings of a fleet. Times are seconds. Without voters there is none.
+type Options struct {
+	Name       string // of the fleet: nobody talks to another one
+	Self       string // this controller's name
+	Voters     []Voter
+	Listen     string // this voter's own, "" for that under its name
+	Folder     string // for votes, of a voter
+	Lease      float64
+	Drift      float64
+	Linger     float64
+	Beat       float64
+	Divide     float64
+	Reserve    float64
+	Still      float64
+	Floors     float64
+	Most       int
+	Generation uint64
+	Engines    bool
+
+	// Quantities that other sections name, by what they divide.
+	Quantities []ledger.Quantity
+}
+
+// Declare declares the section.
+func (f *Options) Declare(o *schema.Object) {
+	seconds := func(to *float64, name, text string, fallback, low, high float64) {
+		o.Number(to, name, text, schema.Default(fallback), schema.Between(low, high), schema.Unit("s"))
+	}
+	o.Text(&f.Name, "name", "the fleet's; controllers and voters of another name are not talked to", schema.Default("fleet"), schema.Length(64))
+	o.List("voters", "three or five controllers that keep what the fleet agrees on; without any there is no fleet", 7, func(o *schema.Object, i int) {
+		v := Voter{}
+		o.Text(&v.Name, "name", "as that controller's own settings have it", schema.Required(), schema.Length(64))
+		o.Text(&v.Address, "address", "address and port at which it is reached", schema.Required(), schema.Check(address))
+		for _, other := range f.Voters {
+			if other.Name == v.Name || other.Address == v.Address {
+				o.Fault("name", "%s at %s stands there twice", v.Name, v.Address)
+			}
+		}
+		f.Voters = append(f.Voters, v)
+	})
+	o.Text(&f.Listen, "listen", "address at which this voter listens, where it is not that in voters", schema.Check(address))
+	o.Text(&f.Folder, "folder", "where a voter keeps its votes, on a disk that outlives it", schema.Default("fleet"), schema.Length(4096))
+	seconds(&f.Lease, "lease", "for which a part holds without a word; a lost controller's part is divided anew after it and linger", 2, 0.2, 600)
+	o.Number(&f.Drift, "drift", "by which one machine's clock may run faster than another's", schema.Default(0.001), schema.Between(0, 0.1))
+	seconds(&f.Linger, "linger", "for which what a lost controller has sent may still run; the longest job timeout is safe", 30, 0, 86400)
+	seconds(&f.Beat, "beat", "between a leader's signs of life; another is elected after some ten", 0.05, 0.005, 5)
+	seconds(&f.Divide, "divide", "between looks at who should have what", 0.25, 0.01, 60)
+	o.Number(&f.Reserve, "reserve", "part of what is divided kept for newcomers", schema.Default(0.05), schema.Between(0, 0.5))
+	o.Number(&f.Still, "still", "part of an even part under which a difference moves nothing", schema.Default(0.1), schema.Between(0, 1))
+	o.Number(&f.Floors, "floors", "part of what is divided set aside for controllers that are cut off, evenly", schema.Default(0.0), schema.Between(0, 0.9))
+	schema.Whole(o, &f.Most, "controllers", "that the fleet may have; floors are parted by it", schema.Default(100), schema.Between(1, 100000))
+	generation := 1
+	schema.Whole(o, &generation, "generation", "of what is divided: raised with each change of it, the same at every controller", schema.Default(1), schema.Between(1, 1e9))
+	f.Generation = uint64(max(generation, 1))
+	o.Bool(&f.Engines, "engines", "each controller's share of the engines goes by its demand", schema.Default(false))
+	switch n := len(f.Voters); {
+	case n == 0:
+	case n%2 == 0 || n < 3:
+		o.Fault("voters", "are %d; three, five or seven can lose one, two or three", n)
+	case f.Beat*20 > f.Lease:
+		o.Fault("beat", "is over a twentieth of the lease: a change of leaders would cost leases")
+	}
+}
+
+func address(text string) error {
+	if _, _, err := net.SplitHostPort(text); err != nil {
+		return fmt.Errorf("%q is no address with a port", text)
+	}
+	return nil
+}
+
+// Divides adds a quantity: its unit is the caller's matter, its floors are set aside.
+func (f *Options) Divides(name string, whole float64) {
+	f.Quantities = append(f.Quantities, ledger.Quantity{Name: name, Whole: whole, Aside: whole * f.Floors})
+}
+
+// On tells whether there is a fleet.
+func (f *Options) On() bool { return f != nil && len(f.Voters) > 0 }
+
+// voter is this controller's number among the voters, from 1, 0 for none.
+func (f *Options) voter() uint64 {
+	for i, v := range f.Voters {
+		if v.Name == f.Self {
+			return uint64(i + 1)
+		}
+	}
+	return 0
+}
+
+// floor is what a controller may use of a quantity while it is cut off: an even part of what is set aside for as many
+// lives again as there may be controllers, since one that was lost may still use its own while the next one starts.
+func (f *Options) floor(q ledger.Quantity) float64 { return q.Aside / float64(2*f.Most) }
+
+func (f *Options) rules() part.Rules {
+	return part.Rules{Lease: f.Lease, Drift: f.Drift, Linger: f.Linger}
+}
+
+func (f *Options) quorum() quorum.Settings {
+	set := quorum.Settings{ID: f.voter(), Rules: f.rules(), Beat: f.Beat, Divide: f.Divide, Division: division.Rules{Reserve: f.Reserve, Still: f.Still},
+		Most: f.Most, Generation: f.Generation, Quantities: f.Quantities}
+	for i := range f.Voters {
+		set.Voters = append(set.Voters, uint64(i+1))
+	}
+	return set
+}
+
+// About is what the section of the settings is for.
+const About = "controllers that act as one; docs/operators/fleet.md"
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -759,3 +759,6 @@
 	}
 	return sum
 }
+
+// Told is what a holder told last of a quantity, where this voter leads.
+func (c *Core) Told(h ledger.Holder, quantity string) Demand { return c.demands[h][quantity] }
--- /dev/null
+++ b/internal/fleet/voter.go
@@ -0,0 +1,312 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.etcd.io/raft/v3/raftpb"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"copperrock.example/copperrock/internal/fleet/quorum"
+	store "copperrock.example/copperrock/internal/keep/votes"
+)
+
+// voter is the shell of one of the quorum: it owns the core, its disk and its links to the others. One goroutine is in
+// the core; a disk that is slow makes this voter slow and no controller.
+type voter struct {
+	options *Options
+	log     zerolog.Logger
+	clock   func() float64
+	core    *quorum.Core
+	file    *store.File
+	steps   chan *raftpb.Message
+	asks    chan asked
+	views   chan chan View
+	peers   map[uint64]*outlet
+	waiting map[waits]func(quorum.Answer) // answers owed, by who asked
+	led     bool
+	leader  uint64
+	snapped uint64
+}
+
+// asked is an ask with the way its answer goes.
+type asked struct {
+	ask    quorum.Ask
+	answer func(quorum.Answer)
+}
+
+type waits struct {
+	name   string
+	inc    uint64
+	number uint64
+}
+
+// VotesPath is where a voter keeps its votes.
+func (f *Options) VotesPath() string { return filepath.Join(f.Folder, f.Self+".votes") }
+
+// Init makes the votes of this voter of a new fleet.
+func Init(f *Options) error {
+	if f.voter() == 0 {
+		return fmt.Errorf("%s is none of the voters", f.Self)
+	}
+	return store.Create(f.VotesPath(), store.Identity{Fleet: f.Name, Voter: f.voter()}, quorum.First(f.quorum().Voters))
+}
+
+// newVoter opens the votes. An error tells why this controller can't vote; it may still hold parts.
+func newVoter(options *Options, clock func() float64, log zerolog.Logger) (*voter, error) {
+	v := &voter{options: options, log: log, clock: clock, steps: make(chan *raftpb.Message, 1024), asks: make(chan asked, 1024),
+		views: make(chan chan View, 16), peers: map[uint64]*outlet{}, waiting: map[waits]func(quorum.Answer){}}
+	file, kept, err := store.Open(options.VotesPath(), store.Identity{Fleet: options.Name, Voter: options.voter()})
+	if err != nil {
+		return nil, err
+	}
+	if file.Cut > 0 {
+		log.Warn().Int64("bytes", file.Cut).Msg("votes cut at a torn end")
+	}
+	v.file = file
+	if v.core, err = quorum.New(options.quorum(), kept); err != nil {
+		file.Close()
+		return nil, err
+	}
+	v.snapped = v.core.Snapped()
+	return v, nil
+}
+
+// run votes until ctx ends or the disk or the core fail; then this controller votes no more.
+func (v *voter) run(ctx context.Context) error {
+	defer v.file.Close()
+	group, ctx := errgroup.WithContext(ctx)
+	for i, peer := range v.options.Voters {
+		if id := uint64(i + 1); id != v.options.voter() {
+			o := &outlet{options: v.options, address: peer.Address, queue: make(chan *raftpb.Message, 256)}
+			v.peers[id] = o
+			group.Go(func() error { return o.run(ctx) })
+		}
+	}
+	group.Go(func() error {
+		beat := time.NewTicker(seconds(v.options.Beat))
+		defer beat.Stop()
+		for {
+			var err error
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-beat.C:
+				err = v.core.Tick(v.clock())
+			case m := <-v.steps:
+				if bad := v.core.Step(v.clock(), m); bad != nil && v.core.Failed() == nil {
+					v.log.Warn().Err(bad).Msg("a voter's message is passed over")
+				}
+			case a := <-v.asks:
+				key := waits{a.ask.Holder.Name, a.ask.Holder.Inc, a.ask.Number}
+				if len(v.waiting) < 4*v.options.Most+1024 { // each asks anew within a lease
+					v.waiting[key] = a.answer
+				}
+				err = v.core.Ask(v.clock(), a.ask)
+			case to := <-v.views:
+				to <- v.view()
+			}
+			for len(v.steps) > 0 && err == nil { // what has come meanwhile goes with the same write to disk
+				v.core.Step(v.clock(), <-v.steps)
+			}
+			if err == nil {
+				err = v.drain()
+			}
+			if err == nil {
+				err = v.core.Failed()
+			}
+			if err != nil {
+				return err
+			}
+		}
+	})
+	return group.Wait()
+}
+
+// drain keeps, sends and answers what the core puts out.
+func (v *voter) drain() error {
+	for v.core.HasOutput() {
+		out := v.core.Output()
+		if err := v.file.Save(out); err != nil {
+			return fmt.Errorf("votes can't be kept: %w", err)
+		}
+		for _, m := range out.Messages {
+			if o := v.peers[m.GetTo()]; o != nil {
+				o.put(m)
+			}
+		}
+		for _, a := range out.Answers {
+			key := waits{a.To.Name, a.To.Inc, a.Number}
+			if answer := v.waiting[key]; answer != nil {
+				delete(v.waiting, key)
+				answer(a)
+			}
+		}
+		if err := v.core.Done(v.clock()); err != nil {
+			return err
+		}
+	}
+	if len(v.waiting) > 4*v.options.Most {
+		clear(v.waiting) // asks that no quorum ever confirmed; their controllers have asked again
+	}
+	for _, why := range v.core.Refused() {
+		v.log.Debug().Str("why", why).Msg("ledger refused a command")
+	}
+	if snapped := v.core.Snapped(); snapped != v.snapped && v.file.Grown() {
+		v.snapped = snapped
+		kept, err := v.core.Whole()
+		if err == nil {
+			err = v.file.Rewrite(kept)
+		}
+		if err != nil {
+			return fmt.Errorf("votes can't be written anew: %w", err)
+		}
+	}
+	if led := v.core.Leads(); led != v.led {
+		v.led = led
+		v.log.Info().Bool("leads", led).Uint64("term", v.core.Term()).Msg("fleet leadership")
+	}
+	return nil
+}
+
+func (v *voter) view() (view View) {
+	l := v.core.Ledger()
+	view = View{Voter: v.options.voter(), Leader: v.core.Leader(), Term: v.core.Term(), Leads: v.core.Leads(), Generation: l.Generation}
+	for _, c := range l.Sorted() {
+		view.Controllers = append(view.Controllers, ViewController{c.Name, c.Inc, c.Index, c.Replaced})
+	}
+	for _, q := range v.options.sorted(l.Quantities) {
+		one := ViewQuantity{Name: q.Name, Whole: q.Whole, Aside: q.Aside}
+		for _, c := range l.Sorted() {
+			if h, holds := c.Holds[q.Name]; holds {
+				d := v.core.Told(c.Holder, q.Name)
+				one.Parts = append(one.Parts, ViewPart{Controller: c.Name, Inc: c.Inc, Amount: h.Amount, Bound: h.Bound, Used: d.Used, Wanted: d.Wanted})
+			}
+		}
+		view.Quantities = append(view.Quantities, one)
+	}
+	return view
+}
+
+// outlet carries one voter's messages to another. It drops what the other does not take in time: raft sends again.
+type outlet struct {
+	options *Options
+	address string
+	queue   chan *raftpb.Message
+}
+
+func (o *outlet) put(m *raftpb.Message) {
+	select {
+	case o.queue <- m:
+	default: // a peer that is slow delays no other
+	}
+}
+
+func (o *outlet) run(ctx context.Context) error {
+	for {
+		if err := o.carry(ctx); ctx.Err() != nil {
+			return ctx.Err()
+		} else if err != nil {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(seconds(2 * o.options.Beat)):
+			}
+		}
+		for len(o.queue) > 0 { // old by now
+			<-o.queue
+		}
+	}
+}
+
+// carry is the life of one connection.
+func (o *outlet) carry(ctx context.Context) error {
+	peer, err := dial(ctx, o.options, o.address)
+	if err != nil {
+		return err
+	}
+	defer peer.Close()
+	stop := context.AfterFunc(ctx, func() { peer.Close() })
+	defer stop()
+	var reader sync.WaitGroup
+	ended := make(chan struct{})
+	reader.Go(func() { // nothing comes but the end
+		defer close(ended)
+		readFrame(peer)
+	})
+	defer reader.Wait()
+	defer peer.Close()
+	for {
+		select {
+		case <-ended:
+			return errors.New("ended")
+		case m := <-o.queue:
+			body, err := proto.Marshal(m)
+			if err != nil {
+				return err
+			}
+			if err := writeFrame(peer, seconds(o.options.Lease/2), votes, body); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// dial connects to a voter and greets it.
+func dial(ctx context.Context, f *Options, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: seconds(f.Lease / 2)}
+	peer, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := greet(peer, f); err != nil {
+		peer.Close()
+		return nil, err
+	}
+	return peer, nil
+}
+
+// greet says who this is and hears who the other is.
+func greet(peer net.Conn, f *Options) error {
+	within := seconds(f.Lease / 2)
+	own := hello{Format: wireFormat, Fleet: f.Name, Name: f.Self, Voter: f.voter()}
+	if err := writeFrame(peer, within, greeting, pack(own)); err != nil {
+		return err
+	}
+	peer.SetReadDeadline(time.Now().Add(within))
+	defer peer.SetReadDeadline(time.Time{})
+	kind, body, err := readFrame(peer)
+	if err != nil {
+		return err
+	}
+	var other hello
+	if kind != greeting {
+		return errFrame
+	}
+	if err := unpack(body, &other); err != nil {
+		return err
+	}
+	return own.suits(other)
+}
+
+// suits tells why the other is not talked to, nil where it is.
+func (h hello) suits(other hello) error {
+	switch {
+	case other.Refused != "":
+		return fmt.Errorf("refused by %s: %s", other.Name, other.Refused)
+	case other.Format != h.Format:
+		return fmt.Errorf("%s speaks format %d, this program %d", other.Name, other.Format, h.Format)
+	case other.Fleet != h.Fleet:
+		return fmt.Errorf("%s is of fleet %q, this is %q", other.Name, other.Fleet, h.Fleet)
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/fleet/wire.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"copperrock.example/copperrock/internal/fleet/quorum"
+)
+
+// Controllers talk over TCP in frames: the length of what follows in four bytes, a byte for the kind, the message. The
+// first frame of each side says who it is. Votes and the log go in raft's own protobuf, asks and answers in MessagePack,
+// which the program speaks anyway.
+const (
+	greeting byte = 1 + iota // to and from: hello
+	votes                    // raft's messages, between voters
+	asking
+	answering
+	viewing // what a voter knows, for operators
+	viewed
+)
+
+// wireFormat is the number of this form of talk.
+const wireFormat = 1
+
+// Bounds of a frame, checked before anything is allocated. An ask names a few quantities of some 60 bytes each; the
+// ledger of some thousand controllers, in raft's messages, has some hundred KB.
+const (
+	mostAsk   = 256 << 10
+	mostVotes = 16 << 20
+)
+
+// hello opens a connection, from either side.
+type hello struct {
+	Format      int
+	Fleet, Name string
+	Voter       uint64 // 0 for none
+	Refused     string // why the other side is not talked to
+}
+
+// View is what a voter knows, for operators.
+type View struct {
+	Voter, Leader, Term uint64
+	Leads               bool
+	Generation          uint64
+	Failed              string
+	Controllers         []ViewController
+	Quantities          []ViewQuantity
+}
+
+// ViewController is a controller as the ledger has it.
+type ViewController struct {
+	Name     string
+	Inc      uint64
+	Index    int
+	Replaced bool
+}
+
+// ViewQuantity is a quantity with all parts.
+type ViewQuantity struct {
+	Name         string
+	Whole, Aside float64
+	Parts        []ViewPart
+}
+
+// ViewPart is a holding.
+type ViewPart struct {
+	Controller    string
+	Inc           uint64
+	Amount, Bound float64
+	Used, Wanted  float64 // as told of late
+}
+
+var errFrame = errors.New("a frame that can't be used")
+
+// writeFrame writes one frame within a time.
+func writeFrame(to net.Conn, within time.Duration, kind byte, body []byte) error {
+	b := make([]byte, 0, 5+len(body))
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)+1))
+	b = append(append(b, kind), body...)
+	to.SetWriteDeadline(time.Now().Add(within))
+	_, err := to.Write(b)
+	return err
+}
+
+// readFrame reads one frame. most bounds each kind.
+func readFrame(from io.Reader) (kind byte, body []byte, err error) {
+	var head [5]byte
+	if _, err := io.ReadFull(from, head[:]); err != nil {
+		return 0, nil, err
+	}
+	size, kind := binary.BigEndian.Uint32(head[:]), head[4]
+	most := uint32(mostAsk)
+	if kind == votes || kind == viewed {
+		most = mostVotes
+	}
+	if kind < greeting || kind > viewed || size < 1 || size > most {
+		return 0, nil, fmt.Errorf("%w: kind %d of %d bytes", errFrame, kind, size)
+	}
+	body = make([]byte, size-1)
+	_, err = io.ReadFull(from, body)
+	return kind, body, err
+}
+
+func pack(v any) []byte {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(err) // plain values of our own
+	}
+	return b
+}
+
+// unpack reads a message of ours; one that is not whole is an error.
+func unpack(b []byte, into any) error {
+	if err := msgpack.Unmarshal(b, into); err != nil {
+		return fmt.Errorf("%w: %w", errFrame, err)
+	}
+	return nil
+}
+
+// unpackAsk reads an ask and checks what it says.
+func unpackAsk(b []byte) (a quorum.Ask, err error) {
+	if err = unpack(b, &a); err != nil {
+		return a, err
+	}
+	if a.Holder.Name == "" || len(a.Holder.Name) > 256 || len(a.Demands) > 10000 || len(a.Quantities) > 10000 {
+		return a, errFrame
+	}
+	for _, d := range a.Demands {
+		if !(d.Used >= 0) || !(d.Wanted >= 0) || !(d.Weight >= 0) || !(d.Least >= 0) || d.Used > 1e15 || d.Wanted > 1e15 || d.Weight > 1e6 {
+			return a, errFrame
+		}
+	}
+	return a, nil
+}
+
+func unpackVotes(b []byte) (*raftpb.Message, error) {
+	m := &raftpb.Message{}
+	if err := proto.Unmarshal(b, m); err != nil {
+		return nil, fmt.Errorf("%w: %w", errFrame, err)
+	}
+	return m, nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -77,6 +78,7 @@
 	steps    chan step // decided, in order
 	priority int       // these four with the module's lock
 	grant    float64
+	most     float64           // of its grants, 0 for no bound
 	sent     int               // dispatches decided
 	out      int               // without an outcome
 	work     float64           // that it took, 0 until it is done
@@ -271,7 +273,12 @@
 			if g.stage == nil {
 				j.hand(now)
 			} else { // Waits for its team.
-				g.carry(now, g.stage.Arrive(now, j.id, team, number, work, memory, giveUp, asks))
+				booked := memory
+				if g.stage.Divided(team) { // no grant may go beyond what was booked of a fleet's budget
+					booked = math.Ceil(g.brain.Grant(number, memory))
+					j.most = booked
+				}
+				g.carry(now, g.stage.Arrive(now, j.id, team, number, work, booked, giveUp, asks))
 			}
 		}
 	})
@@ -571,6 +578,9 @@
 
 func (g *Gateway) Terms(id uint32, priority uint8, grant float64) {
 	if j := g.jobs[id]; j != nil {
+		if j.most > 0 {
+			grant = min(grant, j.most)
+		}
 		j.priority, j.grant = int(priority), grant
 		if j.out > 0 {
 			g.step(id, step{do: prefer, priority: int(priority)})
--- a/internal/teams/teams.go
+++ b/internal/teams/teams.go
@@ -22,6 +22,7 @@
 	Running      int     // jobs at once, 0 for no bound
 	Waiting      int     // jobs at once, 0 for no bound
 	LongestWait  float64 // after which a job is turned away, 0 for none
+	Fleet        bool    // Most is the whole of a fleet's; this gateway may use the part that it is told
 }
 
 // Type is a reservation type as far as waits and pre-emption need it.
@@ -95,6 +96,8 @@
 	gone   bool // out of the configuration; forgotten once it is empty
 
 	used             float64
+	part             float64 // of a fleet's budget, that may be used here now
+	open             bool    // the part may grow: the fleet is reached
 	running, waiting int
 	work, passed     float64 // waiting work, and all that was ever handed on
 	pace, coming     ring    // work ended, work taken
@@ -368,6 +371,8 @@
 			why = fmt.Sprintf("needs %.0f MB, more than the whole budget of team %s", j.memory, n.Name)
 		case n.Waiting > 0 && n.waiting >= n.Waiting:
 			why = fmt.Sprintf("team %s has %d jobs waiting, its most", n.Name, n.Waiting)
+		case n.Fleet && !n.open && n.used+j.memory > n.part:
+			why = fmt.Sprintf("the fleet that divides team %s is not reached, and what is left here is in use", n.Name)
 		default:
 			continue
 		}
@@ -504,7 +509,8 @@
 
 // room tells whether the team, or team of teams, may have the job running now.
 func (n *node) room(j *job) bool {
-	return (n.Most == 0 || n.used+j.memory <= n.Most) && (n.Running == 0 || n.running < n.Running)
+	return (n.Most == 0 || n.used+j.memory <= n.Most) && (n.Running == 0 || n.running < n.Running) &&
+		(!n.Fleet || n.used+j.memory <= n.part)
 }
 
 // settle hands on what may go.
