Parts follow the free memory as told; no homes without a data set; questions under load

Need: load spread evenly although each controller sees little of it. At 0.9 of their capacity a hundred real processes had jobs wait longer than pure chance would.

Cause, by a probe that wrote down what held each job (100 x 30 at 0.9 and 300 x 10, sockets): - The pool, an even part, held the busy controllers' jobs while light ones left theirs unused (pool, brain.go). Neither fits nor the pause of 50 ms held any. - A job without a data set had homes all the same (homes, brain.go): the hash of nothing, so the same two engines at all 300 controllers; 241 jobs waited for over 2 s, each turned away there at once and then out of further dispatches. - Only jobs over 0.3 s asked; those without homes had two engines to ask, not four.

Change: a class may have four even parts of what is read as free and one most grant; the parts widen by a tenth each 50 ms while jobs are held and usual readings are under a half, and narrow with readings over it and by half at each engine that is full. The part by pace goes. Homes need a data set. Jobs over 0.05 s ask while their type takes over 1.2 times its time alone, and without homes a further engine is drawn while those asked are full.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,7 +35,7 @@
 
 	askAt, swept, looked, lagged, freed, bell, ends float64
 
-	part float64 // this gateway's of every engine
+	part, wide, widened float64 // this gateway's of every engine; times that it may have while others leave it
 
 	job    *job // what the rule that fires is about
 	engine *engine
@@ -59,7 +59,7 @@
 	{(*Brain).movable, (*Brain).dispatch},
 	{(*Brain).admissible, (*Brain).dispatch},
 	{(*Brain).overflowing, (*Brain).throttle},
-	{(*Brain).asleep, (*Brain).wake},
+	{(*Brain).asleep, func(b *Brain) { b.bell = b.now + b.nap(); b.out.Wake(b.nap()) }},
 }
 
 func (b *Brain) settle() {
@@ -75,7 +75,7 @@
 func New(seed uint64, set Settings, out Actions) *Brain {
 	b := &Brain{set: set, out: out, dice: dice{seed: seed}, roster: roster{engines: map[uint32]*engine{}},
 		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10), ends: math.Inf(1),
-		part: 1 / float64(set.Gateways)}
+		part: 1 / float64(set.Gateways), wide: 1}
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time, at a pace near the best.
@@ -264,11 +264,13 @@
 
 // pool is the memory that the class may have granted: the shares of all usable engines. What is booked on the
 // others, a hung one's grants above all, takes no room from it. With many gateways an even part is less than
-// chance asks for: patient engines bear two most grants; those that are read, more while such jobs run well.
+// chance asks for: patient engines bear two most grants, those that are read four parts of what is free and a
+// grant, so that a busy one has what others leave, less as that fills; the parts widen while it holds jobs.
 func (b *Brain) pool(c *class) float64 {
-	sum, most := 0.0, 0.0
+	sum, most, all := 0.0, 0.0, 0.0
 	for _, e := range b.roster.fleet {
 		if b.usable(e) {
+			all += b.set.Kinds[e.kind].Memory * b.warmth(e)
 			sum += 0.8 * b.share(e) // engines fill unevenly: at 0.9 and 1, busy fleets jammed
 			most = max(most, b.set.Kinds[e.kind].Memory/4)
 			continue
@@ -279,11 +281,11 @@
 			}
 		}
 	}
-	switch ease := min(max((1.5-c.slow)/0.4, 0), 1); { // none once they take half as long again as alone
+	switch {
 	case b.patient():
 		sum = max(sum, 2*most)
-	case b.set.TellsMemory: // a grant more, and twice the spread of a count with that mean
-		sum += ease * (most + 2*math.Sqrt(sum*most))
+	case b.set.TellsMemory:
+		sum = max(sum, (1-b.usualRead)*(min(4*b.wide*b.part, 1)*all+most))
 	}
 	return sum
 }
@@ -350,7 +352,9 @@
 		return nil
 	}
 	if b.draft(j); len(j.draft) == 0 {
-		c.tried = b.now
+		if c.tried = b.now; b.usualRead < 0.5 && c.slow < 1.5 && b.now > b.widened+0.05 { // twice in 0.4 s
+			b.wide, b.widened = min(1.1*b.wide, float64(b.set.Gateways)), b.now
+		}
 		return nil
 	}
 	homes, _ := b.homes(j)
@@ -376,46 +380,46 @@
 	misfit := func(e *engine) bool {
 		return !b.usable(e) && !b.onTrial(e, j) || !b.allowed(j, e) || !b.fits(j, e, pool)
 	}
+	fits := func(e *engine) bool { return !misfit(e) && !slices.Contains(j.draft, e) }
 	j.draft = slices.DeleteFunc(j.draft, misfit)
-	if len(j.draft) > 0 || len(b.roster.fleet) == 0 || j.class.tally > pool {
+	// Homes give a job four engines to ask; without them a further one is drawn while those asked are full.
+	more := j.tables == 0 && b.weighs(j) && !slices.ContainsFunc(j.draft, b.open)
+	if len(j.draft) > 0 && !more || len(b.roster.fleet) == 0 || j.class.tally > pool {
 		return
 	}
 	const draws = 6 // then the fleet is gone through in turn, at last without keeping apart
 	homes, apart := b.homes(j)
-	at, n := 0, len(b.roster.fleet)
-	for i := 0; i < 2*n+draws && len(j.draft) < 2 && (i < n+draws || len(j.draft) == 0); i++ {
+	at, n, want := 0, len(b.roster.fleet), max(len(j.draft)+1, 2)
+	for i := 0; i < 2*n+draws && len(j.draft) < want && (i < n+draws || len(j.draft) == 0); i++ {
 		if i <= draws {
 			at = b.roster.pick(b.dice.draw(), i)
 		}
 		e := b.roster.fleet[(at+i)%n]
-		if (apart(e) || i >= n+draws) && !misfit(e) && !slices.Contains(j.draft, e) {
+		if (apart(e) || i >= n+draws) && fits(e) {
 			j.draft = append(j.draft, e)
 		}
 	}
 	if b.rotates() { // and one that is cold, in this gateway's slot
-		cold := func(e *engine) bool {
-			return b.warmth(e) < 1 && !misfit(e) && apart(e) && !slices.Contains(j.draft, e)
-		}
+		cold := func(e *engine) bool { return b.warmth(e) < 1 && apart(e) && fits(e) }
 		if at := slices.IndexFunc(b.roster.fleet, cold); at >= 0 {
 			j.draft = append(j.draft, b.roster.fleet[at])
 		}
 	}
-	for _, e := range homes {
-		if !misfit(e) && !slices.Contains(j.draft, e) {
-			j.draft = append(j.draft, e)
-		}
-	}
+	j.draft = append(j.draft, slices.DeleteFunc(homes, func(e *engine) bool { return !fits(e) })...)
 }
 
-// weighs tells whether the job loses less by waiting for a reading than by a poor choice: one over 0.3 s.
-func (b *Brain) weighs(j *job) bool { return b.set.TellsMemory && j.work > 0.3 }
+// weighs tells whether the job loses less by waiting for a reading, which the whole fleet pays for, than by a
+// poor choice: one over 0.3 s, or over 0.05 s, some thirty times a question, while such jobs run slowly.
+func (b *Brain) weighs(j *job) bool {
+	return b.set.TellsMemory && j.reads < 4 && (j.work > 0.3 || j.class.slow > 1.2 && j.work > 0.05)
+}
 
 // unread finds a held job whose best engine has no reading. They are asked one after another, four at most,
 // until the best is one that was read: the fleet pays for each probe, and with room anywhere one or two do.
 func (b *Brain) unread() bool {
 	for _, c := range b.classes {
 		j := c.next(b.now)
-		if j == nil || !b.weighs(j) || j.reads >= 4 || j.awaits(b.now) {
+		if j == nil || !b.weighs(j) || j.awaits(b.now) {
 			continue
 		}
 		if e := b.place(j); e != nil && b.unasked(e) {
@@ -430,6 +434,9 @@
 // when little may go there.
 func (b *Brain) unasked(e *engine) bool { return b.warmth(e) == 1 && b.now > e.asked+0.8 }
 
+// open tells whether the engine was read with room, or can be asked.
+func (b *Brain) open(e *engine) bool { return b.roomy(e) || b.unasked(e) }
+
 func (b *Brain) read() {
 	b.job.reads++
 	b.job.asked, b.engine.asked = b.engine, b.now
@@ -456,8 +463,9 @@
 		return
 	}
 	if memory >= 0 {
-		e.granted, e.cores, e.readAt, e.since, e.threads = memory, max(util, 0), now, 0, 0
-		b.usualRead += 0.05 * (memory - b.usualRead)
+		e.granted, e.cores, e.readAt, e.since, e.threads = min(memory, 2), max(util, 0), now, 0, 0
+		b.usualRead += 0.05 * (e.granted - b.usualRead)
+		b.wide = max(b.wide*min(1.5-b.usualRead, 1), 1)
 	}
 	if waiting >= 0 {
 		e.ease = b.eased(e, waiting)
@@ -486,7 +494,7 @@
 	near := func(e *engine) bool { return 2*slices.Index(ranked, e) < len(ranked) }
 	waits := slices.ContainsFunc(b.classes, func(c *class) bool { return c.Waits })
 	for _, e := range ranked {
-		if !j.class.Load && len(homes) < 2 && e.zone == b.set.Zone {
+		if j.tables > 0 && !j.class.Load && len(homes) < 2 && e.zone == b.set.Zone {
 			homes = append(homes, e)
 		}
 	}
@@ -506,7 +514,7 @@
 		work *= 0.6 // reading is about half of the work, and a warm set saves most of it
 	}
 	switch {
-	case b.roomy(e), b.weighs(j) && j.reads < 4 && b.unasked(e): // which may have room
+	case b.roomy(e), b.weighs(j) && b.unasked(e): // which may have room
 		granted = 0
 	case b.warmth(e) < 1 && b.rotates(): // its budget bounds what all have there
 		granted = 0
@@ -694,7 +702,7 @@
 		c.slow += 0.05 * (min(pace, 5) - c.slow)
 		e.slow += 0.1 * (min(pace/c.slow, 10) - e.slow)
 	case Full:
-		e.ease = 1
+		e.ease, b.wide = 1, max(b.wide/2, 1)
 		e.fullUntil = now + 0.2 // long enough for a few answers
 	case Failed, Reset: // one connection may be lost alone: an engine that is gone takes no new one
 		bad = 1
@@ -840,8 +848,3 @@
 	}
 	return 0.01
 }
-
-func (b *Brain) wake() {
-	b.bell = b.now + b.nap()
-	b.out.Wake(b.nap())
-}
--- /dev/null
+++ b/brain/even_test.go
@@ -0,0 +1,117 @@
+package brain
+
+import (
+	"math"
+	"testing"
+)
+
+// held fills the module of one of 100 gateways with jobs after so much memory was read as granted, and gives how many
+// it has out.
+func held(t *testing.T, granted float64, seconds float64) (x *trace, out int) {
+	x = start(t, Settings{TellsMemory: true, Gateways: 100}, Class{SLA: 60})
+	x.at = 5
+	x.list(Whole, true, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10)
+	for i := range uint32(200) {
+		x.Reported(x.at, 1+i%10, 1, 0, granted, granted, -1)
+	}
+	for id := range uint32(40) {
+		x.arrive(id, 0, 0, 0.04, 1000)
+	}
+	x.pass(5 + seconds)
+	for _, j := range x.jobs {
+		out += j.out
+	}
+	return x, out
+}
+
+// Found with a hundred processes at uneven rates: the busy ones were kept to an even part of the engines, while others
+// left theirs. A busy gateway has what is read as free, more while it holds jobs, and little where engines are full.
+func TestPoolFollowsWhatIsFree(t *testing.T) {
+	x, few := held(t, 0.95, 1)
+	x.say("full engines: %d out", few)
+	if few > 2 {
+		t.Errorf("%d dispatches went to engines read as full", few)
+	}
+	_, some := held(t, 0.2, 0)
+	_, more := held(t, 0.2, 1)
+	if some < 3 || more < 2*some {
+		t.Errorf("%d dispatches to engines read as empty, %d after a second", some, more)
+	}
+	x.say("empty engines: %d at once, %d after a second", some, more)
+	x.lines = x.lines[len(x.lines)-2:]
+	x.check()
+}
+
+// What was widened narrows again: at each reading over half, and by half when an engine turns a job away.
+func TestPoolNarrows(t *testing.T) {
+	x, out := held(t, 0.2, 1)
+	x.lines = nil
+	x.say("%d out, times %.1f", out, x.wide)
+	for id, j := range x.jobs {
+		if j.out > 0 {
+			x.Outcome(x.at, id, 0, Full, 0, false, 0, 0)
+			break
+		}
+	}
+	x.say("full once: times %.1f", x.wide)
+	for i := range uint32(60) {
+		x.Reported(x.at, 1+i%10, 1, 0, 0.9, 0.9, -1)
+	}
+	x.say("read as full: times %.1f", x.wide)
+	if x.wide != 1 {
+		t.Errorf("times %g where engines are read as full", x.wide)
+	}
+	x.check()
+}
+
+// Found with hundreds of processes: a job without a data set had homes all the same, the same two at every gateway, and
+// all jobs went there.
+func TestNoHomesWithoutADataSet(t *testing.T) {
+	x := start(t, Settings{}, Class{})
+	x.list(Whole, true, 0, 1, 2, 3, 4, 5, 6, 7, 8)
+	x.classes[0].slow = 1 // the pace of the outcomes below
+	count := map[uint32]int{}
+	for id := range uint32(160) {
+		x.arrive(id, 0, 0, 0.1, 100)
+		count[x.jobs[id].dispatches[0].engine.id]++
+		x.outcome(id, 0, Done)
+	}
+	for id, n := range count {
+		if n < 8 || n > 40 {
+			t.Errorf("engine %d had %d of 160 jobs, an even part is 20", id, n)
+		}
+	}
+	if len(count) != 8 {
+		t.Errorf("only %d of 8 engines had a job", len(count))
+	}
+}
+
+// A job of 0.1 s goes without a question while jobs run as if alone, and asks once they take longer.
+func TestShortJobsAskUnderLoad(t *testing.T) {
+	x := start(t, Settings{TellsMemory: true, Gateways: 100}, Class{SLA: 30})
+	x.at = 5
+	x.list(Whole, true, 0, 1, 2, 3)
+	x.classes[0].slow = 1
+	x.arrive(1, 0, 0, 0.1, 100)
+	x.outcome(1, 0, Done)
+	x.at = 10
+	x.classes[0].slow = 1.5
+	x.arrive(2, 0, 0, 0.1, 100)
+	x.check()
+}
+
+// Reports that are no numbers, or beyond all bounds, keep no job back.
+func TestOddReports(t *testing.T) {
+	x := start(t, Settings{TellsMemory: true, Gateways: 100}, Class{SLA: 30})
+	x.at = 5
+	x.list(Whole, true, 0, 1, 2, 3)
+	for i := range uint32(300) {
+		x.Reported(x.at, 1+i%3, math.NaN(), math.Inf(1), math.Inf(1), math.Inf(1), math.NaN())
+		x.Reported(x.at, 1+i%3, math.NaN(), math.NaN(), math.NaN(), math.NaN(), math.NaN())
+	}
+	x.arrive(1, 0, 0, 1, 100)
+	x.pass(7.5)
+	if j := x.jobs[1]; j.out != 1 {
+		t.Errorf("the job waits: usual reading %g, pool %g", x.usualRead, x.pool(j.class))
+	}
+}
--- /dev/null
+++ b/internal/lab/spread/virtual_test.go
@@ -0,0 +1,190 @@
+package spread
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"slices"
+	"testing"
+
+	"copperrock.example/copperrock/brain"
+	"copperrock.example/copperrock/internal/lab/testkit"
+)
+
+// usual are the days whose evenness is aimed at.
+func usual() map[string]Day {
+	return map[string]Day{
+		"100x30":       {Controllers: 100, Engines: 30, Work: 0.3, Load: 0.7, Seconds: 15},
+		"100x30-full":  {Controllers: 100, Engines: 30, Work: 0.3, Load: 0.9, Seconds: 15},
+		"300x60":       {Controllers: 300, Engines: 60, Work: 0.3, Load: 0.7, Seconds: 15},
+		"300x60-full":  {Controllers: 300, Engines: 60, Work: 0.3, Load: 0.9, Seconds: 15},
+		"300x10-short": {Controllers: 300, Engines: 10, Work: 0.06, Load: 0.7, Seconds: 15},
+	}
+}
+
+// cold are settings under which an engine starts at a fifth of its pace and bears little.
+var cold = brain.Settings{Cold: 5, ColdFrom: 0.2, FallMultiple: 2, FallWindow: 1}
+
+// hard are fleets in which something is wrong.
+func hard() map[string]Day {
+	base := Day{Controllers: 300, Engines: 60, Work: 0.3, Load: 0.7, Seconds: 15}
+	with := func(change func(d *Day)) Day {
+		d := base
+		change(&d)
+		return d
+	}
+	one := func(m Machine) func(int) Machine {
+		return func(i int) Machine {
+			if i == 0 {
+				return m
+			}
+			return Machine{}
+		}
+	}
+	all := func(m Machine) func(int) Machine { return func(int) Machine { return m } }
+	return map[string]Day{
+		"seven in ten controllers killed": with(func(d *Day) {
+			d.Events = []Event{{7, func(p *Play) {
+				for _, c := range p.Controllers[:210] {
+					c.Kill()
+				}
+			}}}
+		}),
+		"half of the engines replaced": with(func(d *Day) {
+			d.Set, d.Load = cold, 0.5
+			for i := range 30 {
+				d.Events = append(d.Events, Event{4 + 7*float64(i)/30, func(p *Play) {
+					p.Engine(60+i, 0)
+					p.Engines[i].Gone = true // told as gone, what it has goes on elsewhere
+					p.Engines[i].Lose()
+					p.Tell(0.3)
+				}})
+			}
+		}),
+		"half of the engines join": with(func(d *Day) {
+			d.Engines, d.Load = 30, 0.7
+			d.Events = []Event{{7, func(p *Play) {
+				for i := range 30 {
+					p.Engine(30+i, 0)
+				}
+				p.Tell(1)
+			}}}
+		}),
+		"half of the engines join cold, the others full": with(func(d *Day) {
+			d.Engines, d.Load, d.Set = 30, 0.95, cold
+			d.Events = []Event{{5, func(p *Play) {
+				for i := range 30 {
+					p.Engine(30+i, 0)
+				}
+				p.Tell(1)
+			}}}
+		}),
+		"weights from 1 to 8": with(func(d *Day) {
+			d.Machine = func(i int) Machine {
+				w := 1 + float64(i%8)
+				return Machine{Speed: w / 4.5, Weight: w}
+			}
+		}),
+		"one slow by five":               with(func(d *Day) { d.Machine = one(Machine{Speed: 0.2}) }),
+		"one hangs and tells of no line": with(func(d *Day) { d.Machine = one(Machine{Fault: "hang", Report: "idle"}) }),
+		"one fails and tells of no line": with(func(d *Day) { d.Machine = one(Machine{Fault: "fail", Report: "idle"}) }),
+		"reports that freeze":            with(func(d *Day) { d.Machine = all(Machine{Report: "frozen"}) }),
+		"reports 3 s late":               with(func(d *Day) { d.Machine = all(Machine{Report: "late"}) }),
+		"reports that are no numbers":    with(func(d *Day) { d.Machine = all(Machine{Report: "odd"}) }),
+		"only memory told":               with(func(d *Day) { d.Untold = [4]bool{false, true, true, false} }),
+		"nothing told":                   with(func(d *Day) { d.Untold = [4]bool{true, true, true, true} }),
+		"estimates twice too high":       with(func(d *Day) { d.Estimates = 2 }),
+		"estimates ten times too high":   with(func(d *Day) { d.Estimates = 10 }),
+		"estimates ten times too low":    with(func(d *Day) { d.Estimates = 0.1 }),
+		"half of all at one controller":  with(func(d *Day) { d.Half = true }),
+		"lists that differ for 10 s": with(func(d *Day) {
+			d.Load = 0.6
+			d.Events = []Event{{0, func(p *Play) {
+				for i, c := range p.Controllers {
+					c.Only = func(e *Engine) bool { return int(e.id)%2 == i%2 }
+					c.list(p.Engines)
+				}
+			}}, {10, func(p *Play) {
+				for _, c := range p.Controllers {
+					c.Only = nil
+				}
+				p.Tell(0.5)
+			}}}
+		}),
+		"a zone lost and back cold": with(func(d *Day) {
+			d.Set, d.Load, d.Zones = cold, 0.5, 3
+			d.Machine = func(i int) Machine { return Machine{Zone: i % 3} }
+			d.Events = []Event{{5, func(p *Play) {
+				for i := 1; i < 60; i += 3 {
+					p.Engines[i].Lose()
+				}
+				p.Tell(1)
+			}}, {8, func(p *Play) {
+				for i := 1; i < 60; i += 3 {
+					p.Engine(i, 0)
+				}
+				p.Tell(0.3)
+			}}}
+		}),
+		"keyed order and run-once among the rest": with(func(d *Day) {
+			d.Set.Classes = []brain.Class{{SLA: 20, Value: 1}, {SLA: 20, Value: 1, Effect: brain.Keyed, Window: 20, InOrder: true}, {SLA: 20, Value: 1, Effect: brain.RunOnce, Load: true}}
+			d.Machine = one(Machine{Fault: "hang", Report: "idle"})
+		}),
+	}
+}
+
+// Hundreds of modules in virtual time: their figures, which are the same at each run. What a change of the module does
+// to them is seen in the trace's diff.
+func TestEvenness(t *testing.T) {
+	aims := map[string][2]float64{ // of all waits in the mean, and least busy
+		"100x30": {0.8, 0.85}, "100x30-full": {0.75, 0.9}, "300x60": {0.85, 0.85}, "300x60-full": {0.85, 0.9}, "300x10-short": {0.5, 0.9},
+	}
+	var lines []string
+	for _, name := range slices.Sorted(maps.Keys(usual())) {
+		for seed := range uint64(2) {
+			d := usual()[name]
+			d.Seed = seed + 1
+			f := d.Run()
+			lines = append(lines, fmt.Sprintf("%s, seed %d: %v", name, d.Seed, f))
+			if aim := aims[name]; f.All < aim[0] || f.Least < aim[1] || f.Most > 1.25 || f.Refused+f.Lost > 0 {
+				t.Errorf("%s, seed %d: %v", name, d.Seed, f)
+			}
+		}
+	}
+	testkit.Check(t, lines)
+}
+
+// Whatever is wrong, no job is lost or runs twice that may run once, no cold engine is overfilled, and waits stay within
+// bounds; a bound over 1 s is what an engine's silence takes to be noticed.
+func TestHardCases(t *testing.T) {
+	var lines []string
+	for _, name := range slices.Sorted(maps.Keys(hard())) {
+		d := hard()[name]
+		d.Seed = 1
+		f := d.Run()
+		lines = append(lines, fmt.Sprintf("%s: %v", name, f))
+		if f.Lost+f.Twice > 0 || f.Cold > 1 || math.IsNaN(f.Wait) {
+			t.Errorf("%s: %v", name, f)
+		}
+	}
+	testkit.Check(t, lines)
+}
+
+// One of the days, or all, with TRY naming them: make fleet-model.
+func TestTry(t *testing.T) {
+	only := os.Getenv("TRY")
+	if only == "" {
+		t.Skip("TRY=all, or a day's name")
+	}
+	for _, days := range []map[string]Day{usual(), hard()} {
+		for _, name := range slices.Sorted(maps.Keys(days)) {
+			for seed := range uint64(3) {
+				if d := days[name]; only == "all" || only == name {
+					d.Seed = seed + 1
+					t.Logf("%s, seed %d: %v", name, d.Seed, d.Run())
+				}
+			}
+		}
+	}
+}
