--- a/brain/brain.go
+++ b/brain/brain.go
@@ -85,6 +85,7 @@
 	for _, rate := range set.Tenants { // half more than an even part: gateways see uneven ones
 		b.tenants = append(b.tenants, &tenant{rate: 1.5 * rate / float64(set.Gateways), tokens: rate})
 	}
+	b.set.AskFrom = cmp.Or(set.AskFrom, 0.3)
 	width := cmp.Or(set.ExtraWindow, 1) / 10 // a tenth of the window is what the budget is kept too strictly by
 	b.taken, b.extra, b.record = newRing(width, 11), newRing(width, 11), newRecord()
 	return b
@@ -409,9 +410,9 @@
 }
 
 // weighs tells whether the job loses less by waiting for a reading, which the whole fleet pays for, than by a
-// poor choice: one over 0.3 s, or over 0.05 s, some thirty times a question, while such jobs run slowly.
+// poor choice: one over 0.3 s; while such jobs run slowly, one over what the settings have questions from.
 func (b *Brain) weighs(j *job) bool {
-	return b.set.TellsMemory && j.reads < 4 && (j.work > 0.3 || j.class.slow > 1.2 && j.work > 0.05)
+	return b.set.TellsMemory && j.reads < 4 && (j.work > 0.3 || j.class.slow > 1.1 && j.work > b.set.AskFrom)
 }
 
 // unread finds a held job whose best engine has no reading. They are asked one after another, four at most,
--- a/brain/even_test.go
+++ b/brain/even_test.go
@@ -88,7 +88,7 @@
 
 // A job of 0.1 s goes without a question while jobs run as if alone, and asks once they take longer.
 func TestShortJobsAskUnderLoad(t *testing.T) {
-	x := start(t, Settings{TellsMemory: true, Gateways: 100}, Class{SLA: 30})
+	x := start(t, Settings{TellsMemory: true, Gateways: 100, AskFrom: 0.05}, Class{SLA: 30})
 	x.at = 5
 	x.list(Whole, true, 0, 1, 2, 3)
 	x.classes[0].slow = 1
--- a/cmd/copperrock/spread_test.go
+++ b/cmd/copperrock/spread_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -27,6 +28,7 @@
 	faults                string // a plan
 	slow                  int    // engines at a fifth of the pace
 	estimates             float64
+	askFrom               float64
 	before                func(c *crowd)
 	controllerSettings    string
 	extra                 func(i int) string
@@ -38,7 +40,7 @@
   "deployment": {"gateways": COUNT, "index": INDEX, "zones": ["here"],
     "kinds": [{"name": "small", "cores": 4, "memory_mb": 4096}],
     "types": [{"name": "job", "repeat": "restartable", "job_timeout": 30, "sla": 20}],
-    "engines": {"report": [REPORT], "line": false, "priorities": false, "streams": 32, "idle": 15}},
+    "engines": {"report": [REPORT], "line": false, "priorities": false, "streams": 32, "idle": 15, "ask_from": ASKFROM}},
   "engines": {"file": "ENGINES"}EXTRA}`
 
 // figures of a spread day.
@@ -101,7 +103,7 @@
 		}
 		name := fmt.Sprintf("c%03d", i)
 		names = append(names, name)
-		c.controller(name, strings.NewReplacer("COUNT", fmt.Sprint(d.controllers), "INDEX", fmt.Sprint(i), "REPORT", d.report, "EXTRA", extra).Replace(spreadSettings))
+		c.controller(name, strings.NewReplacer("COUNT", fmt.Sprint(d.controllers), "INDEX", fmt.Sprint(i), "REPORT", d.report, "ASKFROM", fmt.Sprint(cmp.Or(d.askFrom, 0.3)), "EXTRA", extra).Replace(spreadSettings))
 	}
 	if err := c.Start(names...); err != nil {
 		t.Fatal(err)
--- a/internal/base/operator/operator.go
+++ b/internal/base/operator/operator.go
@@ -446,6 +446,7 @@
 	o.Number(&all.Idle, "idle", "after which engines close a connection", schema.Default(60.0), schema.Between(0.1, 86400),
 		schema.Unit("s"))
 	o.Number(&all.Connect, "connect", "for a connection to come up", schema.Default(1.0), schema.Between(0.01, 60), schema.Unit("s"))
+	o.Number(&b.AskFrom, "ask_from", "work of a job from which engines are asked for their load while its type takes over 1.1 times its time alone; shorter spreads a load more evenly for more questions", schema.Default(0.3), schema.Between(0.001, 3600), schema.Unit("s"))
 	b.TellsMemory = all.Probing && slices.Contains(all.Fields, "x0")
 }
 
--- a/internal/lab/spread/virtual.go
+++ b/internal/lab/spread/virtual.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -128,6 +129,7 @@
 	p.Set.Grants, p.Set.MayCancel, p.Set.MayCopy = true, true, true
 	p.Set.ExtraFree, p.Set.ExtraShare, p.Set.ExtraWindow = 10, 0.2, 10
 	p.Set.TellsMemory = !d.Untold[3]
+	p.Set.AskFrom = cmp.Or(p.Set.AskFrom, 0.02)
 	for i := range d.Engines {
 		p.Engine(i, 0)
 	}
