Duties, voters and bad links between processes, with faults

Need: what is about many processes is shown by processes. Stand-in engines take fences and tell probes.

--- a/cmd/copperrock/fleet_test.go
+++ b/cmd/copperrock/fleet_test.go
@@ -21,11 +21,12 @@
   "leaving": {"stay": 0.1, "longest": 1},
   "deployment": {"gateways": COUNT, "index": INDEX, "zones": ["here"],
     "kinds": [{"name": "small", "cores": 64, "memory_mb": 2000}],
-    "types": [{"name": "job", "repeat": "restartable", "job_timeout": 1.5, "sla": 1.5, "threads": 0.1}],
-    "engines": {"report": ["busy_reqs"], "probing": false, "streams": 32}, "rules": {"come_back": 0.2}},
+    "types": [{"name": "job", "repeat": "restartable", "job_timeout": 1.5, "sla": 1.5, "threads": 0.1},
+      {"name": "load", "repeat": "run_once", "job_timeout": 1.5, "sla": 1.5, "threads": 0.1}],
+    "engines": {"report": ["busy_reqs", "x0"], "probing": PROBING, "streams": 32}, "rules": {"come_back": 0.2}},
   "engines": {"file": "ENGINES"}, "requests": {"team": "team"},
   "teams": {"default": "all", "budgets": [{"name": "all", "scope": "fleet", "most_mb": WHOLE, "waiting": 20}]},
-  "fleet": {"voters": [VOTERS], OWN "folder": "FOLDER", "lease": 1, "linger": 1.6, "beat": 0.03, "divide": 0.1, "reserve": 0.02, "controllers": 8}}`
+  "fleet": {"voters": [VOTERS], OWN "folder": "FOLDER", "lease": 1, "linger": 1.6, "beat": 0.03, "divide": 0.1, "reserve": 0.02, "controllers": 8MORE}DUTIES}`
 
 // budgeted is a fleet of real processes that share one budget, with what the engines themselves saw of it.
 type budgeted struct {
@@ -43,9 +44,15 @@
 	answers map[string]map[standin.Outcome]int // by controller
 	back    map[string]float64                 // the latest word on when to come back
 	twice   int
+	seen    []standin.Seen // of scheduled jobs
 }
 
 func newBudgeted(t *testing.T, controllers int, whole float64) *budgeted {
+	return newDuties(t, controllers, whole, "", "")
+}
+
+// newDuties is one whose settings have a section on duties, and more in the section on the fleet.
+func newDuties(t *testing.T, controllers int, whole float64, more, duties string) *budgeted {
 	b := &budgeted{whole: whole, voters: map[string]string{}, options: map[string]*fleet.Options{}, running: map[string]float64{},
 		answers: map[string]map[standin.Outcome]int{}, back: map[string]float64{}}
 	b.crowd = newCrowd(t, 3, 1, func(i int, e *standin.Engine) { e.Cores, e.Memory, e.Tell = 64, 1e9, b.see })
@@ -73,7 +80,7 @@
 			own = fmt.Sprintf(`"listen": %q,`, at)
 		}
 		text := strings.NewReplacer("COUNT", fmt.Sprint(controllers), "INDEX", fmt.Sprint(i), "WHOLE", fmt.Sprint(whole), "VOTERS", strings.Join(voters, ", "),
-			"OWN", own, "FOLDER", b.Folder).Replace(budgetSettings)
+			"OWN", own, "FOLDER", b.Folder, "MORE", more, "DUTIES", duties, "PROBING", fmt.Sprint(duties != "")).Replace(budgetSettings)
 		b.controller(name, text)
 		s, err := read(filepath.Join(b.Folder, name+".jsonc"), "")
 		if err != nil {
@@ -98,6 +105,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := s.Engine + " " + s.Ref
+	if s.Fence > 0 || s.Type == "load" {
+		b.seen = append(b.seen, s)
+	}
 	switch s.Do {
 	case "asked":
 		if _, there := b.running[key]; there {
--- a/cmd/copperrock/process_test.go
+++ b/cmd/copperrock/process_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"copperrock.example/copperrock/internal/fleet"
 	lab "copperrock.example/copperrock/internal/lab/fleet"
 	"copperrock.example/copperrock/internal/lab/standin"
 	"copperrock.example/copperrock/internal/members"
@@ -126,3 +127,29 @@
 		}
 	}
 }
+
+func read2(t testing.TB, path string) []byte {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func write2(t testing.TB, path string, b []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func readSettings(path string) (*fleet.Options, error) {
+	s, err := read(path, "")
+	if err != nil {
+		return nil, err
+	}
+	return fleetOf(s), nil
+}
+
+func removeVotes(path string) error { return os.Remove(path) }
--- a/internal/lab/standin/engine.go
+++ b/internal/lab/standin/engine.go
@@ -37,8 +37,9 @@
 type Seen struct {
 	At               float64 // Unix seconds
 	Engine, Ref      string
-	Type, Do         string // Do: asked, ran, refused, quit, lost
+	Type, Do         string // Do: asked, ran, refused, quit, lost, fenced, probed
 	Grant, Work, Mem float64
+	Fence            uint64 // that came along, 0 for none
 }
 
 // Engine is one engine. Its fields are set before Start.
@@ -51,6 +52,8 @@
 	Seed    uint64
 	Tell    func(Seen) // may be nil; called from many goroutines
 	Address string     // "127.0.0.1:0" where empty
+	Fences  bool       // a dispatch whose fence is lower than one that was seen for its key is refused
+	Probes  bool       // probes are told too
 	InTurn  bool       // a job has a core to itself, in arrival order; those that wait are told as pending
 
 	listener net.Listener
@@ -69,6 +72,7 @@
 	line    []chan struct{} // jobs that wait for one
 	probes  int
 	opened  int // connections
+	fences  map[string]uint64
 }
 
 // Start listens, and serves until Stop.
@@ -144,13 +148,30 @@
 	return len(e.peers)
 }
 
-func (e *Engine) tell(do, ref, class string, grant float64, c cost) {
+func (e *Engine) tell(do, ref, class string, grant float64, fence uint64, c cost) {
 	if e.Tell != nil {
 		e.Tell(Seen{At: float64(time.Now().UnixMicro()) / 1e6, Engine: e.Name, Ref: ref, Type: class, Do: do, Grant: grant,
-			Work: c.work, Mem: c.memory})
+			Work: c.work, Mem: c.memory, Fence: fence})
 	}
 }
 
+// behind tells whether a fence is lower than one seen for its key.
+func (e *Engine) behind(key string, fence uint64) bool {
+	if !e.Fences || key == "" {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fences == nil {
+		e.fences = map[string]uint64{}
+	}
+	if fence < e.fences[key] {
+		return true
+	}
+	e.fences[key] = fence
+	return false
+}
+
 // draw decides whether a fault befalls the next job; the same seed gives the same faults to the same arrivals.
 func (e *Engine) draw() Fault {
 	e.mu.Lock()
@@ -252,6 +273,9 @@
 				load += fmt.Sprintf(";pending:%d;cpu_share:%.3f", len(e.line), float64(e.busy)/max(e.Cores, 1))
 			}
 			e.mu.Unlock()
+			if e.Probes {
+				e.tell("probed", words[1], "", 0, 0, cost{})
+			}
 			s.say(words[1], "well", load, "")
 		}
 	}
@@ -270,16 +294,25 @@
 }
 
 func (s *session) run(ctx context.Context, ref, fields, statement string) {
-	e, c, grant, class := s.Engine, costOf(statement), 0.0, ""
+	e, c, grant, class, key, fence := s.Engine, costOf(statement), 0.0, "", "", uint64(0)
 	for pair := range strings.SplitSeq(fields, ",") {
 		switch name, value, _ := strings.Cut(pair, "="); name {
 		case "reserve":
 			grant, _ = strconv.ParseFloat(value, 64)
 		case "c":
 			class = value
+		case "fence":
+			name, number, _ := strings.Cut(value, ":")
+			key = name
+			fence, _ = strconv.ParseUint(number, 10, 64)
 		}
 	}
-	e.tell("asked", ref, class, grant, c)
+	if e.behind(key, fence) {
+		e.tell("fenced", ref, class, grant, fence, c)
+		s.say(ref, "failed", "-", "")
+		return
+	}
+	e.tell("asked", ref, class, grant, fence, c)
 	fault := e.draw()
 	holds := max(grant, 1)
 	e.mu.Lock()
@@ -290,7 +323,7 @@
 	}
 	e.mu.Unlock()
 	if crowd || fault == Full {
-		e.tell("refused", ref, class, grant, c)
+		e.tell("refused", ref, class, grant, fence, c)
 		s.say(ref, "full", "-", "")
 		return
 	}
@@ -308,7 +341,7 @@
 			e.work += c.work
 		}
 		e.mu.Unlock()
-		e.tell(do, ref, class, grant, c)
+		e.tell(do, ref, class, grant, fence, c)
 	}
 	defer func() { end("quit") }()
 	if fault == Hang {
@@ -327,7 +360,7 @@
 			return
 		}
 		defer e.leave()
-		e.tell("began", ref, class, grant, c)
+		e.tell("began", ref, class, grant, fence, c)
 	}
 	if !e.take(ctx, work) {
 		return
