Cores of duties in tables and histories; bad disks of voters; time tables over clock changes

Need: the steps of an owner, of a schedule and of a list have to be read as traces, and disks that fail caused in processes. Change: traces of what an owner may do, of late occurrences, of the steps of an occurrence; histories of targets checked as a register that fences guard (porcupine), and one without fences found; voters with a full disk, one that fails a sync and one that takes two seconds. Found: after a standstill an owner believed its old lease again at its next beat (own.go); it believes nothing now until it is asked again.

--- a/cmd/copperrock/duties_test.go
+++ b/cmd/copperrock/duties_test.go
@@ -261,6 +261,7 @@
 
 // The list of engines is read by one for all; without the fleet each takes its own reading.
 func TestListByOne(t *testing.T) {
+	t.Parallel()
 	b := newDuties(t, 3, 600, "", nightly)
 	b.wait("every slice has an owner", b.ownedBy(b.names...))
 	took := func(n int) func() bool {
@@ -290,6 +291,7 @@
 // A voter's disk is lost: another takes its place while the fleet runs. One that comes back with an older copy of its disk
 // is not heard.
 func TestVoterReplaced(t *testing.T) {
+	t.Parallel()
 	b := newBudgeted(t, 4, 400)
 	b.wait("all four have parts", b.divided("c0", "c1", "c2", "c3"))
 	_, leader := b.view()
@@ -457,6 +459,7 @@
 
 // What operators are told of duties.
 func TestDutiesCommands(t *testing.T) {
+	t.Parallel()
 	b := newDuties(t, 3, 600, "", nightly)
 	b.wait("every slice has an owner", b.ownedBy(b.names...))
 	b.wait("a job has run", func() bool { return b.last("load-a") > 0 })
--- a/cmd/copperrock/fleet_test.go
+++ b/cmd/copperrock/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"copperrock.example/copperrock/internal/fleet"
+	"copperrock.example/copperrock/internal/fleet/ledger"
 	lab "copperrock.example/copperrock/internal/lab/fleet"
 	"copperrock.example/copperrock/internal/lab/standin"
 )
@@ -393,3 +395,80 @@
 		t.Error(got)
 	}
 }
+
+// A voter's disk that is full, takes two seconds for a sync, or fails one: that voter alone is slow or votes no more, the
+// fleet goes on, and once the disk is sound and the voter started again it votes as before.
+func TestFleetBadDisks(t *testing.T) {
+	t.Parallel()
+	b := newBudgeted(t, 4, 400)
+	b.wait("all four have parts", b.divided("c0", "c1", "c2", "c3"))
+	b.load(0.02)
+	mark := func(name, fault string, on bool) {
+		path := b.options[name].VotesPath() + "." + fault
+		if !on {
+			os.Remove(path)
+		} else if err := os.WriteFile(path, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	serves := func(what string) {
+		before := map[string]int{}
+		for _, name := range b.names {
+			before[name] = b.count(name, standin.Done)
+		}
+		b.wait("all serve "+what, func() bool {
+			for _, name := range b.names {
+				if b.count(name, standin.Done) < before[name]+10 {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	_, leader := b.view()
+	mark(leader, "slow", true)
+	order := func(amount float64) { // which is written: nothing is while the parts stand still
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		if err := fleet.Ask(ctx, b.options["c0"], ledger.Command{Op: ledger.Ordering, Text: ledger.BudgetFor, What: "team/all", Amount: amount}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	order(390)
+	b.wait("an order holds beside a slow disk", func() bool { _, sum := b.parts(); return sum > 0.8*390 && sum <= 390 })
+	serves("beside a slow disk")
+	mark(leader, "slow", false)
+	b.wait("all four have parts", b.divided("c0", "c1", "c2", "c3"))
+	for i, fault := range []string{"full", "fails"} {
+		_, leader = b.view()
+		mark(leader, fault, true)
+		order(380 - float64(10*i))
+		b.wait("the voter whose disk is bad votes no more: "+fault, func() bool { return strings.Contains(b.Tail(leader, 4000), "this voter votes no more") })
+		b.wait("another leads", func() bool { _, now := b.view(); return now != "" && now != leader })
+		serves("without it: " + fault)
+		mark(leader, fault, false)
+		b.Process(leader).Kill()
+		if err := b.Process(leader).Start(); err != nil {
+			t.Fatal(err)
+		}
+		b.wait("all four have parts", b.divided("c0", "c1", "c2", "c3"))
+	}
+	b.finish()
+}
+
+// Two fleets whose settings name the same voter: it talks to its own alone, and says so of the other.
+func TestFleetOfAnother(t *testing.T) {
+	t.Parallel()
+	b := newBudgeted(t, 4, 400)
+	path := filepath.Join(b.Folder, "c3.jsonc")
+	text := strings.Replace(string(read2(t, path)), `"fleet": {`, `"fleet": {"name": "another", `, 1)
+	write2(t, path, []byte(text))
+	b.Process("c3").Kill()
+	if err := b.Process("c3").Start(); err != nil {
+		t.Fatal(err)
+	}
+	b.wait("the voters say that it is of another fleet", func() bool {
+		return strings.Contains(b.Tail("c0", 1<<20), `is of fleet \"another\"`) || strings.Contains(b.Tail("c1", 1<<20), `is of fleet \"another\"`) || strings.Contains(b.Tail("c2", 1<<20), `is of fleet \"another\"`)
+	})
+	b.wait("the others divide all", b.divided("c0", "c1", "c2"))
+}
--- a/cmd/copperrock/process_test.go
+++ b/cmd/copperrock/process_test.go
@@ -7,10 +7,12 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"copperrock.example/copperrock/internal/fleet"
+	"copperrock.example/copperrock/internal/keep/votes"
 	lab "copperrock.example/copperrock/internal/lab/fleet"
 	"copperrock.example/copperrock/internal/lab/standin"
 	"copperrock.example/copperrock/internal/members"
@@ -21,11 +23,40 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(selfRun) != "" {
+		votes.Through = func(path string, to votes.Disk) votes.Disk { return badDisk{to, path} }
 		os.Exit(start(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
 
+// badDisk is a voter's disk that a test can fill, slow down or break, by files beside the votes.
+type badDisk struct {
+	votes.Disk
+	path string
+}
+
+func (d badDisk) has(fault string) bool {
+	_, err := os.Stat(d.path + "." + fault)
+	return err == nil
+}
+
+func (d badDisk) Write(b []byte) (int, error) {
+	if d.has("full") {
+		return 0, syscall.ENOSPC
+	}
+	return d.Disk.Write(b)
+}
+
+func (d badDisk) Sync() error {
+	if d.has("slow") {
+		time.Sleep(2 * time.Second)
+	}
+	if d.has("fails") {
+		return syscall.EIO
+	}
+	return d.Disk.Sync()
+}
+
 // crowd is many controllers in processes of their own, among stand-in engines that they all use.
 type crowd struct {
 	*lab.Fleet
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,227 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"copperrock.example/copperrock/internal/base/schema"
+	"copperrock.example/copperrock/internal/base/settings"
+	"copperrock.example/copperrock/internal/fleet"
+	"copperrock.example/copperrock/internal/fleet/duties"
+	"copperrock.example/copperrock/internal/fleet/ledger"
+	"copperrock.example/copperrock/internal/gateway"
+	"copperrock.example/copperrock/internal/lab/testkit"
+	"copperrock.example/copperrock/internal/members"
+)
+
+// Schedules over daylight-saving changes in Berlin: what is due between two in the morning and four. In spring the hour
+// from two is not there, in autumn it comes twice; each is a time of its own, so nothing runs twice at one.
+func TestDaylightSaving(t *testing.T) {
+	var lines []string
+	for _, day := range []string{"2027-03-28", "2027-10-31", "2027-06-01"} {
+		for _, schedule := range []string{"30 2 * * *", "0 * * * *", "@every 1h"} {
+			s, err := parse(schedule, "Europe/Berlin")
+			if err != nil {
+				t.Fatal(err)
+			}
+			from, _ := time.Parse("2006-01-02 15:04", day+" 00:00")
+			j := &Job{Schedule: s}
+			var at []string
+			for _, when := range due(j, from.Add(-time.Minute).Unix(), from.Add(4*time.Hour)) {
+				at = append(at, time.Unix(when, 0).UTC().Format("15:04"))
+			}
+			lines = append(lines, fmt.Sprintf("%s %q: %v", day, schedule, at))
+		}
+	}
+	testkit.Check(t, lines)
+}
+
+// What the section may get wrong.
+func TestOptions(t *testing.T) {
+	var lines []string
+	for _, text := range []string{
+		`{"probe": 0.2, "jobs": [{"name": "a", "schedule": "0 3 * * *", "zone": "Europe/Berlin", "type": "load", "statement": "x"}]}`,
+		`{"jobs": [{"name": "a", "schedule": "often", "type": "load", "statement": "x"}]}`,
+		`{"jobs": [{"name": "a", "schedule": "@daily", "zone": "Mars/Olympus", "type": "load", "statement": "x"}]}`,
+		`{"jobs": [{"name": "a", "schedule": "@daily", "type": "dump", "statement": "x", "team": "none"}]}`,
+		`{"jobs": [{"name": "a", "schedule": "@daily", "type": "load", "statement": "x"}, {"name": "a", "schedule": "@daily", "type": "load", "statement": "y"}]}`,
+		`{"jobs": [{"name": "a", "schedule": "@daily", "type": "load", "statement": "x", "late": "never"}]}`,
+	} {
+		d := &Options{}
+		err := schema.Read("test", []byte(text), schema.Usual, func(o *schema.Object) {
+			d.Declare(o, []Type{{"load", false, 30}, {"report", true, 10}}, []string{"all"})
+		})
+		lines = append(lines, fmt.Sprintf("%v, %d jobs, error %v", d.Duties(), len(d.Jobs), err))
+	}
+	testkit.Check(t, lines)
+}
+
+// scripted is a fleet and a gateway that do as a test says.
+type scripted struct {
+	mu       sync.Mutex
+	fence    uint64
+	held     bool
+	away     bool // the fleet is not heard
+	said     []string
+	refuse   ledger.Op
+	outcome  gateway.Outcome
+	lose     ledger.Op // the lease is over once this has been said
+	members  []string
+	runs     int
+	readings int
+}
+
+func (s *scripted) Begin(duties.Slot) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fence, s.held
+}
+func (s *scripted) End(duties.Slot, uint64) {}
+func (s *scripted) Still(_ duties.Slot, fence uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held && fence == s.fence
+}
+func (s *scripted) Rest() float64 { return 1 }
+func (s *scripted) Connected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.away
+}
+func (s *scripted) Act(_ context.Context, c ledger.Command) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	words := map[ledger.Op]string{ledger.Take: "take", ledger.Send: "send", ledger.Over: "over", ledger.Doubt: "doubt", ledger.Miss: "miss", ledger.Publish: "publish"}
+	word := words[c.Op]
+	if c.Op == ledger.Over {
+		word += " as " + c.State.String()
+	}
+	if c.Op == s.lose {
+		s.held = false
+	}
+	if c.Op == s.refuse {
+		s.said = append(s.said, word+" refused")
+		return errors.Join(fleet.ErrRefused, errors.New("no"))
+	}
+	s.said = append(s.said, word)
+	return nil
+}
+func (s *scripted) Tell([]fleet.Reading) {}
+func (s *scripted) Listed() []string     { return nil }
+func (s *scripted) AskLoad(_ string, answer func(settings.Load, bool)) {
+	answer(settings.Untold, false)
+}
+func (s *scripted) Heard(string, float64, settings.Load) { s.readings++ }
+func (s *scripted) Busy() float64                        { return 0 }
+func (s *scripted) Drain(string, bool)                   {}
+func (s *scripted) Budget(string, float64, bool)         {}
+func (s *scripted) Do(_ context.Context, j gateway.Own) (gateway.Outcome, string) {
+	if _, still := j.Fence(); !still {
+		return gateway.NotRun, "not the owner"
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	s.said = append(s.said, "run")
+	return s.outcome, ""
+}
+func (s *scripted) Members(_ members.Mode, engines []members.Engine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := ""
+	for _, e := range engines {
+		text += e.Name + " "
+	}
+	s.members = append(s.members, text)
+}
+
+// The steps of an occurrence: in the ledger before its first byte, and not sent where the ledger or the lease say no.
+func TestCarry(t *testing.T) {
+	var lines []string
+	for _, c := range []struct {
+		name string
+		s    *scripted
+		once bool
+		do   duties.Do
+	}{
+		{"sound", &scripted{}, true, duties.Run},
+		{"not taken", &scripted{refuse: ledger.Take}, true, duties.Run},
+		{"not recorded as sent", &scripted{refuse: ledger.Send}, true, duties.Run},
+		{"lease over before it is sent", &scripted{lose: ledger.Send}, true, duties.Run},
+		{"throttled", &scripted{outcome: gateway.NotRun}, true, duties.Run},
+		{"unclear, run-once", &scripted{outcome: gateway.Unclear}, true, duties.Run},
+		{"unclear, restartable", &scripted{outcome: gateway.Unclear}, false, duties.Run},
+		{"failed", &scripted{outcome: gateway.Failed}, true, duties.Run},
+		{"missed", &scripted{}, true, duties.Miss},
+		{"in doubt", &scripted{}, true, duties.Doubt},
+		{"given up", &scripted{}, true, duties.GiveUp},
+	} {
+		s := c.s
+		s.fence, s.held = 7, true
+		d := New(&Options{Fence: true}, s, s, nil, zerolog.Nop())
+		d.table.carry(context.Background(), &Job{Name: "a", Spec: duties.Spec{Once: c.once}}, duties.Slot{Duty: duties.Jobs}, duties.Action{Do: c.do, When: 100, Why: "why"}, false)
+		lines = append(lines, fmt.Sprintf("%s: %v", c.name, s.said))
+	}
+	testkit.Check(t, lines)
+}
+
+// Readings under a lower fence than another of their slice are passed over, as are old ones and those of no slice.
+func TestReadings(t *testing.T) {
+	s := &scripted{}
+	d := New(&Options{}, s, s, nil, zerolog.Nop())
+	read := func(slice int, fence uint64, age float64) {
+		d.Read([]fleet.Reading{{Engine: "e", Slice: slice, Fence: fence, Age: age}})
+	}
+	read(1, 5, 0)
+	read(1, 7, 0)
+	read(1, 6, 0) // an old owner's
+	read(2, 6, 0)
+	read(2, 6, 3) // of three seconds ago
+	read(-1, 9, 0)
+	read(64, 9, 0)
+	if s.readings != 3 {
+		t.Errorf("%d readings were taken", s.readings)
+	}
+}
+
+// The list: own reading at the start, the published one once there is one, not one under an earlier fence nor a broken one,
+// own reading again while the fleet is not heard.
+func TestListing(t *testing.T) {
+	s := &scripted{held: true, fence: 4}
+	l := NewListing(members.Bounds{Engines: 10, Size: 1 << 16}, 0.05, s)
+	l.fleet, l.log = s, zerolog.Nop()
+	list := func(names ...string) (all []members.Engine) {
+		for i, name := range names {
+			all = append(all, members.Engine{Name: name, Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Zone: "here", Kind: "small", Weight: 1, State: members.InService})
+		}
+		return all
+	}
+	text := func(names ...string) []byte {
+		return members.List{Generation: 1, Engines: list(names...)}.Print()
+	}
+	l.Members(members.Drained, list("a"))
+	l.publish(context.Background())
+	l.listed(4, text("a", "b"))
+	l.listed(3, text("c"))
+	l.listed(5, []byte("{torn"))
+	l.Members(members.Drained, list("a", "d")) // read here; it waits for its owner's word
+	l.publish(context.Background())
+	l.publish(context.Background()) // nothing new
+	s.mu.Lock()
+	s.away = true
+	s.mu.Unlock()
+	l.heard = time.Now().Add(-time.Second)
+	l.hark()
+	l.hark()
+	s.mu.Lock()
+	s.away = false
+	s.mu.Unlock()
+	l.hark()
+	testkit.Check(t, []string{fmt.Sprintf("lists taken: %q", s.members), fmt.Sprintf("said: %v", s.said)})
+}
--- a/internal/fleet/duties/own.go
+++ b/internal/fleet/duties/own.go
@@ -56,7 +56,7 @@
 // made after it.
 func (o *Own) Beat(now float64) (stood bool) {
 	if stood = o.beat > math.Inf(-1) && now > o.beat+o.still; stood {
-		o.stood = now
+		o.stood, o.until = now, math.Inf(-1)
 	}
 	o.beat = max(o.beat, now)
 	return stood
--- a/internal/fleet/quorum/duties_test.go
+++ b/internal/fleet/quorum/duties_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"github.com/anishathalye/porcupine"
+
 	"copperrock.example/copperrock/internal/fleet/duties"
 	"copperrock.example/copperrock/internal/fleet/ledger"
 	"copperrock.example/copperrock/internal/lab/testkit"
@@ -26,14 +28,15 @@
 	stop    func(h *holderSim, step string)
 	was     map[uint64]*ledger.Ledger
 	wrongly string
-	records []record
+	touched []touch
 }
 
-// record is one interval in which a holder believed that it owned a slice, for the checker of histories.
-type record struct {
-	slot  duties.Slot
-	fence uint64
-	at    float64
+// touch is an effect at a target, from when it was sent until it was taken or refused.
+type touch struct {
+	slot     duties.Slot
+	fence    uint64
+	from, at float64
+	taken    bool
 }
 
 // worker is a holder's side.
@@ -150,7 +153,10 @@
 					}
 					if own.Still(w.now(h), slot, fence) || w.defect == "no re-check" {
 						w.halt(h, "checked")
-						w.goOn(h, func() { w.after(w.link(h), func() { w.effect(h, own, slot, fence) }) })
+						w.goOn(h, func() {
+							from := w.at
+							w.after(w.link(h), func() { w.effect(h, own, slot, fence, from) })
+						})
 					}
 					own.End(slot, fence)
 				})
@@ -171,9 +177,10 @@
 }
 
 // effect arrives at the target.
-func (w *works) effect(h *holderSim, own *duties.Own, slot duties.Slot, fence uint64) {
+func (w *works) effect(h *holderSim, own *duties.Own, slot duties.Slot, fence uint64, from float64) {
 	if fence < w.seen[slot] {
 		if w.low++; w.defect != "fence not kept" {
+			w.touched = append(w.touched, touch{slot, fence, from, w.at, false})
 			return // refused
 		}
 		w.wrongly = fmt.Sprintf("D2: an effect in slice %d under fence %d after %d", slot.At, fence, w.seen[slot])
@@ -182,7 +189,7 @@
 	if !own.Still(w.now(h), slot, fence) {
 		w.late++
 	}
-	w.records = append(w.records, record{slot, fence, w.at})
+	w.touched = append(w.touched, touch{slot, fence, from, w.at, true})
 }
 
 // job takes the next step for a job in one of the holder's slices, half a second between occurrences.
@@ -564,3 +571,43 @@
 	}
 	testkit.Check(t, lines)
 }
+
+// fenced is a slice's target as a register that only takes what is not behind it.
+var fenced = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		seen, in := state.(uint64), input.(uint64)
+		if taken := output.(bool); taken != (in >= seen) {
+			return false, state
+		}
+		return true, max(seen, in)
+	},
+}
+
+// Histories of what the targets took and refused are those of a register that fences guard, however long effects were on
+// their way; one of a target that keeps no fence is not.
+func TestHistories(t *testing.T) {
+	check := func(defect string, seeds uint64) (all, wrong int) {
+		for seed := uint64(1); seed <= seeds && wrong == 0; seed++ {
+			s := playWorks(seed, 3, defect)
+			by := map[duties.Slot][]porcupine.Operation{}
+			for i, r := range s.work1.touched {
+				by[r.slot] = append(by[r.slot], porcupine.Operation{ClientId: i, Input: r.fence, Output: r.taken, Call: int64(r.from * 1e6), Return: int64(r.at*1e6) + 1})
+			}
+			for slot, history := range by {
+				all++
+				if !porcupine.CheckOperations(fenced, history[:min(len(history), 600)]) {
+					if wrong++; defect == "" {
+						t.Errorf("seed %d: the history of slice %d is not that of a guarded register", seed, slot.At)
+					}
+				}
+			}
+		}
+		return all, wrong
+	}
+	all, _ := check("", 8)
+	_, wrong := check("fence not kept", 200)
+	if all < 20 || wrong == 0 {
+		t.Errorf("%d histories; %d of a target without fences were found", all, wrong)
+	}
+}
