--- a/cmd/copperrock/demo.go
+++ b/cmd/copperrock/demo.go
@@ -34,6 +34,7 @@
 	Rate  float64       `default:"120" help:"Jobs a second, of all types together."`
 	Seed  uint64        `default:"1" help:"For the jobs and their faults."`
 	Teams bool          `help:"Two teams at odds instead, with waits told against waits had."`
+	Fleet bool          `help:"Five controllers that divide a budget and run a job each second, while one is frozen, one killed, one cut off."`
 	Log   bool          `help:"Write the controller's log too."`
 }
 
@@ -44,6 +45,9 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
+	if d.Fleet {
+		return demoFleet(out, folder)
+	}
 	s, err := operator.Parse("demo.jsonc", demoSettings, nil)
 	if err != nil {
 		return err
--- a/cmd/copperrock/spread_test.go
+++ b/cmd/copperrock/spread_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"copperrock.example/copperrock/internal/fleet"
 	lab "copperrock.example/copperrock/internal/lab/fleet"
 	"copperrock.example/copperrock/internal/lab/spread"
 	"copperrock.example/copperrock/internal/lab/standin"
@@ -105,10 +106,16 @@
 		names = append(names, name)
 		c.controller(name, strings.NewReplacer("COUNT", fmt.Sprint(d.controllers), "INDEX", fmt.Sprint(i), "REPORT", d.report, "ASKFROM", fmt.Sprint(cmp.Or(d.askFrom, 0.3)), "EXTRA", extra).Replace(spreadSettings))
 	}
+	if d.before != nil {
+		d.before(c)
+	}
 	if err := c.Start(names...); err != nil {
 		t.Fatal(err)
 	}
 	c.up()
+	if d.before != nil { // leases, slices
+		time.Sleep(5 * time.Second)
+	}
 	r := rand.New(rand.NewPCG(seed, 2)) // the mix, from the day's seed alone
 	weights, sum := make([]float64, d.controllers), 0.0
 	for i := range weights {
@@ -257,6 +264,21 @@
 		{name: "100x30-slow", controllers: 100, engines: 30, slow: 1, work: 0.3, load: 0.7, report: allTold},
 		{name: "100x30-estimates", controllers: 100, engines: 30, estimates: 10, work: 0.3, load: 0.7, report: allTold},
 	}
+	for _, one := range []struct {
+		name    string
+		n, m    int
+		load    float64
+		work    float64
+		askFrom float64
+		talks   bool
+	}{{"100x30-asks", 100, 30, 0.7, 0.3, 0.02, false}, {"100x30-full-asks", 100, 30, 0.9, 0.3, 0.02, false}, {"300x60-asks", 300, 60, 0.7, 0.3, 0.02, false}, {"300x60-full-asks", 300, 60, 0.9, 0.3, 0.02, false},
+		{"300x10-short-asks", 300, 10, 0.7, 0.06, 0.02, false}, {"100x30-talks", 100, 30, 0.7, 0.3, 0.3, true}} {
+		d := spreadDay{name: one.name, controllers: one.n, engines: one.m, work: one.work, load: one.load, report: allTold, askFrom: one.askFrom}
+		if one.talks {
+			d.talk(t)
+		}
+		days = append(days, d)
+	}
 	only := os.Getenv("DAYS")
 	for _, d := range days {
 		if only == "" || strings.Contains(","+only+",", ","+d.name+",") {
@@ -266,6 +288,30 @@
 	}
 }
 
+// talk has the controllers be a fleet that divides the engines and shares readings: what talk is worth to placement.
+func (d *spreadDay) talk(t *testing.T) {
+	var voters []string
+	for i := range 3 {
+		// Below those that the machine gives out by itself, which the controllers have.
+		voters = append(voters, fmt.Sprintf(`{"name": "c%03d", "address": "127.0.0.1:%d"}`, i, 21000+i))
+	}
+	folder := t.TempDir()
+	d.extra = func(i int) string {
+		return fmt.Sprintf(`, "fleet": {"voters": [%s], "folder": %q, "lease": 2, "beat": 0.05, "controllers": %d}, "duties": {"probe": 0.1}`, strings.Join(voters, ", "), folder, d.controllers)
+	}
+	d.before = func(c *crowd) {
+		for i := range 3 {
+			f, err := readSettings(fmt.Sprintf("%s/c%03d.jsonc", c.Folder, i))
+			if err == nil {
+				err = fleet.Init(f, false)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
 // killed is a plan that kills so many of the controllers at once.
 func killed(of int, part, at float64) string {
 	var names []string
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -141,7 +141,7 @@
 	var mu sync.Mutex
 	asked := map[string]bool{} // and not answered; forgotten with the answer, which comes or is given up
 	var taken []fleet.Reading
-	send := time.NewTicker(min(every/4, 20*time.Millisecond)) // what came together goes together
+	send := time.NewTicker(max(every/2, 20*time.Millisecond)) // what came together goes together
 	defer send.Stop()
 	for {
 		select {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -63,3 +64,59 @@
 		t.Errorf("b has %g of 10 once a is gone", has(b))
 	}
 }
+
+// L5 to L8 hold for any commands, from however wrong a leader and whoever's acts, and the ledger does not grow past its
+// bounds.
+func TestAnyDuties(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		l := New()
+		l.Apply(Command{Op: Set, Generation: 1, Duties: []Duty{{"jobs", 3}, {"engines", 1}}, Jobs: []string{"a"}})
+		sent := map[string]int{} // times that a run-once occurrence was allowed to be sent, less those of which nothing ran
+		for range rapid.IntRange(1, 120).Draw(r, "commands") {
+			h := Holder{rapid.SampledFrom([]string{"x", "y", "z"}).Draw(r, "name"), rapid.Uint64Range(1, 2).Draw(r, "inc")}
+			slice := rapid.IntRange(0, 3).Draw(r, "slice")
+			fence := uint64(0)
+			if s := l.slice("jobs", slice); s != nil && rapid.Bool().Draw(r, "right fence") {
+				fence = s.Fence
+				if rapid.Bool().Draw(r, "right owner") {
+					h = s.Owner
+				}
+			}
+			c := Command{Op: rapid.SampledFrom([]Op{Join, Join, Expire, Assign, Assign, Recall, Release, Take, Take, Take, Send, Send, Over, Doubt, Miss, Clear, Ordering, ForgetOrder, Publish, Set}).Draw(r, "op"),
+				Holder: h, What: "jobs", Duty: "jobs", At: slice, Number: fence, Most: 5, When: rapid.Int64Range(1, 9).Draw(r, "when"), Once: true,
+				Again: rapid.Bool().Draw(r, "again"), State: RunState(rapid.IntRange(0, 7).Draw(r, "state")), Generation: rapid.Uint64Range(0, 3).Draw(r, "generation"),
+				Duties: []Duty{{"jobs", 3}, {"engines", 1}}, Text: "drain", Ends: rapid.Bool().Draw(r, "ends")}
+			if c.Op >= Take && c.Op <= Clear {
+				c.What = "a"
+			}
+			was := l.Clone()
+			err := l.Apply(c)
+			if wrong := l.Check(was); wrong != "" {
+				r.Fatalf("%+v: %s", c, wrong)
+			}
+			key := fmt.Sprint(c.What, c.When)
+			state := func(l *Ledger) RunState {
+				if run := l.Jobs["a"].run(c.When); run != nil {
+					return run.State
+				}
+				return -1
+			}
+			before, after := state(was), state(l)
+			switch {
+			case err != nil && before != after:
+				r.Fatalf("%+v was refused and changed the occurrence", c)
+			case c.Op == Send && before == RunTaken && after == RunSent:
+				if sent[key]++; sent[key] > 1 {
+					r.Fatalf("%+v: a run-once occurrence may be sent twice", c)
+				}
+			case (c.Op == Over || c.Op == Clear) && after == RunTaken && before != RunTaken:
+				sent[key]--
+			}
+		}
+		for name := range l.Jobs {
+			if n := len(l.Jobs[name].Runs); n > keptRuns+openRuns {
+				r.Fatalf("%d occurrences are kept", n)
+			}
+		}
+	})
+}
--- a/internal/fleet/quorum/duties_test.go
+++ b/internal/fleet/quorum/duties_test.go
@@ -49,6 +49,9 @@
 	pending map[uint64]Act
 }
 
+// neither is a defect: no owner looks again before an effect, and no target keeps a fence.
+const neither = "neither look nor fence"
+
 // slices of the two duties here; jobs are named so that each slice has some.
 const someSlices = 6
 
@@ -151,7 +154,7 @@
 					if h.life != life || h.own != own {
 						return
 					}
-					if own.Still(w.now(h), slot, fence) || w.defect == "no re-check" {
+					if own.Still(w.now(h), slot, fence) || w.defect == neither {
 						w.halt(h, "checked")
 						w.goOn(h, func() {
 							from := w.at
@@ -179,7 +182,7 @@
 // effect arrives at the target.
 func (w *works) effect(h *holderSim, own *duties.Own, slot duties.Slot, fence uint64, from float64) {
 	if fence < w.seen[slot] {
-		if w.low++; w.defect != "fence not kept" {
+		if w.low++; w.defect != "fence not kept" && w.defect != neither {
 			w.touched = append(w.touched, touch{slot, fence, from, w.at, false})
 			return // refused
 		}
@@ -251,7 +254,7 @@
 			if !mine() {
 				return
 			}
-			if !own.Still(w.now(h), slot, fence) && w.defect != "no re-check" {
+			if !own.Still(w.now(h), slot, fence) {
 				say(ledger.Over, ledger.RunTaken, func(bool) { over() })
 				return
 			}
@@ -606,7 +609,7 @@
 		return all, wrong
 	}
 	all, _ := check("", 8)
-	_, wrong := check("fence not kept", 200)
+	_, wrong := check(neither, 200)
 	if all < 20 || wrong == 0 {
 		t.Errorf("%d histories; %d of a target without fences were found", all, wrong)
 	}
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -56,6 +56,8 @@
 	Used, Wanted float64
 	Weight       float64
 	Least        float64
+
+	lately float64 // the most wanted, fading by half in a lease: parts that chased every moment's demand were always on the move
 }
 
 // Ask is a controller's ask for its parts. Each asks every third of a lease or so.
@@ -443,6 +445,7 @@
 		c.answer(a, Answer{Word: Granted})
 		return nil
 	}
+	gap := now - c.seen[a.Holder]
 	c.seen[a.Holder] = now
 	if a.Generation > c.ledger.Generation && len(a.Quantities)+len(a.Duties) > 0 {
 		c.do(ledger.Command{Op: ledger.Set, Generation: a.Generation, Quantities: a.Quantities, Duties: a.Duties, Jobs: a.Jobs})
@@ -450,6 +453,7 @@
 	c.duties(a)
 	told := map[string]Demand{}
 	for _, d := range a.Demands {
+		d.lately = max(d.Used, d.Wanted, c.demands[a.Holder][d.Name].lately*math.Exp2(-gap/c.set.Rules.Lease))
 		told[d.Name] = d
 		if hold := h.Holds[d.Name]; d.Number > 0 && d.Number == hold.Number && hold.Bound > max(hold.Amount, d.Used) {
 			c.do(ledger.Command{Op: ledger.Settle, Holder: a.Holder, What: d.Name, Number: d.Number, Amount: d.Used})
@@ -599,7 +603,7 @@
 			}
 			d := c.demands[h.Holder][name]
 			who = append(who, h)
-			holders = append(holders, division.Holder{Weight: d.Weight, Want: max(d.Used, d.Wanted), Least: d.Least, Has: hold.Amount})
+			holders = append(holders, division.Holder{Weight: d.Weight, Want: d.lately, Least: d.Least, Has: hold.Amount})
 		}
 		targets := division.Divide(whole-aside, holders, c.set.Division)
 		for _, grow := range []bool{false, true} {
--- a/internal/fleet/quorum/sim_test.go
+++ b/internal/fleet/quorum/sim_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"go.etcd.io/raft/v3/raftpb"
 
 	"copperrock.example/copperrock/internal/fleet/division"
@@ -35,7 +36,12 @@
 	defect  string
 	wrong   string
 	log     []string
-	work1   *works   // duties, nil without
+	work1   *works         // duties, nil without
+	calm    bool           // measured, not checked
+	many    int            // holders that there may be
+	idle    bool           // holders begin nothing by themselves
+	sent    map[string]int // messages at a voter
+	bytes   map[string]int
 	voting  []uint64 // who shall vote, where that changes
 	grown   float64  // the latest time at which any holder was told more
 }
@@ -114,7 +120,7 @@
 // newSimWith makes one with duties.
 func newSimWith(seed uint64, voters, holders int, defect string, w *works) *sim {
 	s := &sim{r: rand.New(rand.NewPCG(seed, 5)), rules: part.Rules{Lease: 1, Drift: 0.001, Linger: 0.8}, whole: 100, aside: 8,
-		voters: map[uint64]*voterSim{}, cut: map[[2]string]bool{}, slow: map[string]float64{}, dup: 0.02, defect: defect, work1: w}
+		voters: map[uint64]*voterSim{}, cut: map[[2]string]bool{}, slow: map[string]float64{}, dup: 0.02, defect: defect, work1: w, many: holders}
 	if w != nil {
 		w.sim = s
 	}
@@ -143,7 +149,7 @@
 
 func (s *sim) startVoter(v *voterSim) {
 	set := Settings{ID: v.id, Voters: s.ids, Rules: s.rules, Beat: 0.05, Divide: 0.1, Division: division.Rules{Reserve: 0.05, Still: 0.1},
-		Most: 100, Generation: 1, Quantities: s.quantities(), Duties: s.duties(), Voting: 1}
+		Most: max(100, s.many), Generation: 1, Quantities: s.quantities(), Duties: s.duties(), Voting: 1}
 	v.life++
 	set.Life = v.life
 	if s.voting != nil {
@@ -194,6 +200,21 @@
 	}
 }
 
+// count counts a message at a voter, where that is measured.
+func (s *sim) count(at string, m any) {
+	if s.sent == nil {
+		return
+	}
+	s.sent[at]++
+	if p, is := m.(*raftpb.Message); is {
+		b, _ := marshal(p)
+		s.bytes[at] += len(b)
+	} else {
+		b, _ := msgpack.Marshal(m)
+		s.bytes[at] += len(b)
+	}
+}
+
 // drain carries out what a voter puts out.
 func (s *sim) drain(v *voterSim) {
 	core := v.core
@@ -214,6 +235,7 @@
 		}
 		for _, m := range out.Messages {
 			peer := s.voters[m.GetTo()]
+			s.count(s.name(v.id), m)
 			if peer == nil {
 				continue
 			}
@@ -234,6 +256,7 @@
 			}
 		}
 		for _, a := range out.Answers {
+			s.count(s.name(v.id), a)
 			for _, h := range s.holders {
 				if h.name == a.To.Name {
 					s.send(s.name(v.id), h.name, func() { s.at2(h, func() { s.hear(h, v.id, a) }) })
@@ -313,7 +336,9 @@
 		if h.life != life || h.dead {
 			return
 		}
-		s.at2(h, func() { s.work(h) })
+		if !s.idle {
+			s.at2(h, func() { s.work(h) })
+		}
 		s.after(0.01+0.02*s.r.Float64(), work)
 	}
 	s.after(0.1*s.r.Float64(), ask)
@@ -322,8 +347,9 @@
 
 func (s *sim) ask(h *holderSim) {
 	for _, name := range both {
-		hold := h.holds[name]
-		hold.Want(hold.Used(s.now(h)) + 30*h.wants)
+		if hold := h.holds[name]; !s.idle {
+			hold.Want(hold.Used(s.now(h)) + 30*h.wants)
+		}
 	}
 	number, reports := h.parts.Ask(s.now(h))
 	a := Ask{Holder: ledger.Holder{Name: h.name, Inc: h.inc}, Number: number, Generation: 1, Digest: Digest(s.quantities(), s.duties())}
@@ -339,6 +365,7 @@
 	}
 	v := s.voters[to]
 	h.leader = 0 // unless it answers
+	s.count(s.name(to), a)
 	s.send(h.name, s.name(to), func() {
 		s.at1(v, func() {
 			if v.core == nil {
@@ -484,7 +511,9 @@
 		e := heap.Pop(&s.events).(event)
 		s.at = e.at
 		e.do()
-		s.check()
+		if !s.calm {
+			s.check()
+		}
 	}
 }
 
--- a/internal/teams/teams_test.go
+++ b/internal/teams/teams_test.go
@@ -536,3 +536,44 @@
 		}
 	})
 }
+
+// An operator's order stands over a budget, for what comes, and is taken back; another configuration does not undo it.
+func TestOrderedBudget(t *testing.T) {
+	s, err := New(Rules{Types: []Type{{Restartable: true, Threads: 1}}, Default: "a", Window: 8}, []Budget{{Name: "a", Weight: 1, Most: 100}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	hands := func(all []Decision) (n int) {
+		for _, d := range all {
+			if d.Do == Hand {
+				n++
+			}
+		}
+		return n
+	}
+	n := hands(s.Arrive(0, 1, "a", 0, 1, 60, 100, false)) + hands(s.Arrive(0, 2, "a", 0, 1, 60, 100, false))
+	if n != 1 {
+		t.Errorf("%d of 60 MB each went within 100 MB", n)
+	}
+	if n := hands(s.Order(1, "a", 200, true)); n != 1 {
+		t.Errorf("%d went with 200 MB", n)
+	}
+	s.Order(2, "a", 50, true)
+	s.Granted(2, 1, 60)
+	if n := hands(s.Arrive(2, 3, "a", 0, 1, 30, 100, false)) + hands(s.Ended(3, 1, 1)); n != 0 {
+		t.Errorf("%d went while 60 of 50 MB are in use", n)
+	}
+	if n := hands(s.Ended(4, 2, 1)); n != 1 {
+		t.Errorf("%d went with nothing in use of 50 MB", n)
+	}
+	if n := hands(s.Arrive(5, 4, "a", 0, 1, 60, 100, false)); n != 0 {
+		t.Error("60 MB went within an ordered 50")
+	}
+	s.Order(6, "a", 0, false)
+	if n := hands(s.Arrive(6, 5, "a", 0, 1, 60, 100, false)); n != 1 {
+		t.Errorf("%d went once the order was taken back", n)
+	}
+	if s.Order(7, "nobody", 1, true) != nil {
+		t.Error("an order for no team did something")
+	}
+}
