--- /dev/null
+++ b/internal/fleet/quorum/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package quorum
+
+const slow = false
--- a/internal/fleet/quorum/quorum_test.go
+++ b/internal/fleet/quorum/quorum_test.go
@@ -21,6 +21,9 @@
 	if n, err := strconv.Atoi(os.Getenv("SCHEDULES")); err == nil && n > 0 {
 		return uint64(n)
 	}
+	if slow {
+		usual = max(usual/4, 3)
+	}
 	return uint64(usual)
 }
 
--- /dev/null
+++ b/internal/fleet/quorum/race_test.go
@@ -0,0 +1,7 @@
+//go:build race
+
+package quorum
+
+// slow tells that the race detector is on. What is played here runs on one goroutine, so it has nothing to find in more
+// schedules.
+const slow = true
