What is kept of controllers, jobs and voters goes with them; one view for the commands

Cause, found by going through every map: a leader kept what given-up controllers had told of duties, an owner kept tries of jobs whose slice it had lost, and a voter wrote down whoever named himself a voter. Change: each is forgotten with what it is about, and a voter meets only those of its quorum or settings. The three commands that look at the leader share it.

--- a/cmd/copperrock/duties.go
+++ b/cmd/copperrock/duties.go
@@ -105,18 +105,25 @@
 	return c.give(out, ledger.Command{Text: ledger.BudgetFor, What: teamQuantity + c.Team, Amount: c.Most, Ends: c.Back})
 }
 
-type fleetOrders struct {
+type fleetView struct {
 	fleetSettings
 	Within time.Duration `default:"3s" help:"How long to wait for a voter."`
 }
 
-// Run lists orders, with those who have not taken them up.
-func (c *fleetOrders) Run(out io.Writer) error {
+// view is what the voter that leads knows.
+func (c fleetView) view() (fleet.View, error) {
 	f, err := c.read()
 	if err != nil {
-		return err
+		return fleet.View{}, err
 	}
-	view, err := leader(f, c.Within)
+	return leader(f, c.Within)
+}
+
+type fleetOrders struct{ fleetView }
+
+// Run lists orders, with those who have not taken them up.
+func (c *fleetOrders) Run(out io.Writer) error {
+	view, err := c.view()
 	if err != nil {
 		return err
 	}
@@ -146,18 +153,11 @@
 	return nil
 }
 
-type dutiesList struct {
-	fleetSettings
-	Within time.Duration `default:"3s" help:"How long to wait for a voter."`
-}
+type dutiesList struct{ fleetView }
 
 // Run tells who owns what, and what waits.
 func (c *dutiesList) Run(out io.Writer) error {
-	f, err := c.read()
-	if err != nil {
-		return err
-	}
-	view, err := leader(f, c.Within)
+	view, err := c.view()
 	if err != nil {
 		return err
 	}
@@ -188,18 +188,13 @@
 }
 
 type dutiesHistory struct {
-	fleetSettings
-	Job    string        `arg:"" optional:"" help:"One job alone."`
-	Within time.Duration `default:"3s" help:"How long to wait for a voter."`
+	fleetView
+	Job string `arg:"" optional:"" help:"One job alone."`
 }
 
 // Run tells the latest occurrences of jobs.
 func (c *dutiesHistory) Run(out io.Writer) error {
-	f, err := c.read()
-	if err != nil {
-		return err
-	}
-	view, err := leader(f, c.Within)
+	view, err := c.view()
 	if err != nil {
 		return err
 	}
--- a/internal/duty/jobs.go
+++ b/internal/duty/jobs.go
@@ -52,7 +52,7 @@
 		t.views[j.Name] = v
 	}
 	for o := range t.tried { // of what is over
-		if v, there := t.views[o.job]; there && !t.mine[o] && o.when <= v.Last && !openAt(v, o.when) {
+		if v, there := t.views[o.job]; !t.mine[o] && (!there || o.when <= v.Last && !openAt(v, o.when)) {
 			delete(t.tried, o)
 		}
 	}
--- a/internal/fleet/quorum/duties.go
+++ b/internal/fleet/quorum/duties.go
@@ -81,6 +81,12 @@
 	d.looked = now
 }
 
+// forget lets go of a controller that the ledger does not know any more.
+func (d *dutyState) forget(h ledger.Holder) {
+	delete(d.told, h)
+	delete(d.strip, h)
+}
+
 // acts that may wait at once; more are told to ask again.
 const mostActs = 4096
 
@@ -203,6 +209,11 @@
 			c.do(ledger.Command{Op: ledger.ForgetOrder, Text: o.Kind, What: o.Target, Number: o.Number})
 		}
 	}
+	for duty := range c.duty.first {
+		if c.ledger.Slices[duty] == nil {
+			delete(c.duty.first, duty)
+		}
+	}
 	for _, duty := range slices.Sorted(maps.Keys(c.ledger.Slices)) {
 		if _, known := c.duty.first[duty]; !known {
 			c.duty.first[duty] = now
@@ -274,5 +285,8 @@
 	}
 }
 
+// Knows tells whether a voter is one of the quorum, or by the settings shall be.
+func (c *Core) Knows(voter uint64) bool { return c.votes(voter) }
+
 // TookUp tells the latest order that each controller has taken up, where this voter leads.
 func (c *Core) TookUp(h ledger.Holder) uint64 { return c.duty.told[h].orders }
--- a/internal/fleet/quorum/duties_test.go
+++ b/internal/fleet/quorum/duties_test.go
@@ -576,6 +576,16 @@
 	s.startHolder(victim)
 	s.run(s.at + 4)
 	say("back, it has some again: %v", len(victim.own.Holds()) > 0)
+	if l := s.leader(); l != nil { // what is kept of controllers goes with them
+		for h := range l.core.duty.told {
+			if l.core.ledger.Controllers[h] == nil {
+				t.Errorf("%v is gone, and what it told is kept", h)
+			}
+		}
+		if len(l.core.duty.strip)+len(l.core.duty.waiting) > 0 {
+			t.Errorf("kept: %v, %v", l.core.duty.strip, l.core.duty.waiting)
+		}
+	}
 	s.voters[1].core, s.voters[2].core = nil, nil
 	s.run(s.at + 2)
 	say("without a quorum %d may act", w.owners())
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -571,6 +571,7 @@
 		if c.ledger.Controllers[h] == nil && now > c.seen[h]+c.set.Rules.Over() {
 			delete(c.seen, h)
 			delete(c.demands, h)
+			c.duty.forget(h)
 		}
 	}
 }
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -207,6 +207,7 @@
 		v.snapped = snapped
 		kept, err := v.core.Whole()
 		if err == nil {
+			v.file.Forget(func(voter uint64) bool { return !v.core.Knows(voter) })
 			err = v.file.Rewrite(kept)
 		}
 		if err != nil {
@@ -339,6 +340,8 @@
 func (v *voter) meet(m meeting) (why string, err error) {
 	seen, met := v.file.Met()[m.voter]
 	switch {
+	case !v.core.Knows(m.voter):
+		return fmt.Sprintf("%d is the number of no voter here", m.voter), nil
 	case met && m.start.Behind(seen):
 		v.log.Error().Uint64("voter", m.voter).Uint64("start", m.start.Boot).Uint64("met", seen.Boot).Msg("a voter comes with an older copy of its disk, and is not heard")
 		return errOlder.Error(), nil
--- a/internal/keep/votes/votes.go
+++ b/internal/keep/votes/votes.go
@@ -106,6 +106,11 @@
 // Met gives the starts of the other voters as they were met last.
 func (f *File) Met() map[uint64]Start { return maps.Clone(f.met) }
 
+// Forget lets go of the starts of voters that are none any more; they are out of the file once it is written anew.
+func (f *File) Forget(gone func(voter uint64) bool) {
+	maps.DeleteFunc(f.met, func(voter uint64, _ Start) bool { return gone(voter) })
+}
+
 // Meets keeps, synced, that another voter was met at a start.
 func (f *File) Meets(voter uint64, s Start) error {
 	f.met[voter] = s
