--- a/Makefile
+++ b/Makefile
@@ -73,9 +73,9 @@
 fleet:
 	MEASURE=1 COUNT=$(COUNT) go test -count=1 -timeout 20m -v -run 'MeasureFleet$$' ./cmd/copperrock
 
-# Probes beside a single prober's, and gaps in them, while owners are killed and frozen.
+# Probes beside a single prober's, and gaps in them, while owners are killed and frozen; a night of loads with faults (SEED).
 duties:
-	MEASURE=1 go test -count=1 -timeout 20m -v -run MeasureProbing ./cmd/copperrock
+	MEASURE=1 go test -count=1 -timeout 20m -v -run 'MeasureProbing|MeasureNight' ./cmd/copperrock
 
 # The module in virtual time, hundreds of instances: TRY names one of the days of internal/lab/spread, or all.
 TRY ?= all
--- a/cmd/copperrock/duties_test.go
+++ b/cmd/copperrock/duties_test.go
@@ -545,3 +545,33 @@
 		}
 	}
 }
+
+// A night of scheduled loads with a fault every second, from a seed: processes killed and frozen, links cut one way and
+// both, slow, lossy, flapping. None reaches an engine twice, and what did not run is told. MEASURE, SEED.
+func TestMeasureNight(t *testing.T) {
+	measuring(t)
+	seed := uint64(1)
+	fmt.Sscan(os.Getenv("SEED"), &seed)
+	b := newDuties(t, 5, 600, "", nightly)
+	b.wait("every slice has an owner", b.ownedBy(b.names...))
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	from := time.Now().Unix()
+	plan := lab.Random(seed, b.names, 40, 30)
+	if err := b.Play(ctx, plan, func(at float64, what string) { t.Logf("%5.1f %s", at, what) }); err != nil {
+		t.Fatal(err)
+	}
+	to := time.Now().Unix()
+	b.wait("every slice has an owner again", b.ownedBy(b.names...))
+	time.Sleep(3 * time.Second)
+	count := map[ledger.RunState]int{}
+	for _, job := range []string{"load-a", "load-b"} {
+		for _, r := range b.runs(job) {
+			if r.When > from && r.When <= to {
+				count[r.State]++
+			}
+		}
+	}
+	t.Logf("%d faults in %d s; of the latest occurrences of two run-once jobs: %v", len(plan), to-from, count)
+	b.once()
+}
