--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,6 +38,9 @@
 
 	part, wide, widened float64 // this gateway's of every engine; times that it may have while others leave it
 
+	past            []Past  // of the job that arrives
+	rested, chilled float64 // until when keys rest and cold engines get nothing, after a life not known
+
 	job    *job // what the rule that fires is about
 	engine *engine
 }
@@ -118,9 +121,10 @@
 	}
 	if c.InOrder && key != 0 {
 		b.lines.join(key, j)
+		j.line.restUntil = max(j.line.restUntil, b.rested)
 	}
 	heap.Push(&b.giveUps, j)
-	c.queue = append(c.queue, j)
+	b.enqueue(j)
 	b.settle()
 }
 
@@ -301,8 +305,8 @@
 // Of many gateways most would have a part too small for any job, and the first more than it ever needs: for
 // them the order is drawn anew in each slot of the clock. A window meets two slots, so each has half.
 func (b *Brain) withinCold(j *job, e *engine) bool {
-	if b.warmth(e) == 1 {
-		return true
+	if b.warmth(e) == 1 || b.now < b.chilled {
+		return b.warmth(e) == 1
 	}
 	budget := b.set.FallMultiple * b.set.ColdFrom * b.set.Kinds[e.kind].Cores * b.set.FallWindow
 	if !b.rotates() {
@@ -343,8 +347,8 @@
 	best := slices.MinFunc(j.draft, func(x, y *engine) int {
 		return cmp.Compare(b.load(x, j, homes), b.load(y, j, homes))
 	})
-	// Of unequal engines the first drawn, or the first home, came by its part. It stands unless it is read fuller,
-	// or busier by jobs, more the less alike they are: else the larger would have all while little is open.
+	// Of unequal engines the first drawn, or the first home, came by its part. It stands unless read fuller, or
+	// busier by jobs, more the less alike they are: else the larger would have all while little is open.
 	drawn := j.draft[0]
 	if j.tables > 0 && len(homes) > 0 && slices.Contains(j.draft, homes[0]) {
 		drawn = homes[0]
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -2,7 +2,11 @@
 // holds the decisions; this file is what passes in and out of them.
 package brain
 
-import "cmp"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 // Effect tells what a repeat of a job may do.
 type Effect int
@@ -119,6 +123,125 @@
 	b.settle()
 }
 
+// Past is a dispatch of a job that a life of this gateway before sent. At is the clock then; one that did not run is not
+// told. The engine is known by what binds a repeat alone.
+type Past struct {
+	At         float64
+	Zone, Cell int
+}
+
+// ArriveAgain takes a job as Arrive does, of which dispatches before may have run. The rules for further dispatches hold
+// for it, from its first one on.
+func (b *Brain) ArriveAgain(now float64, id uint32, class, tenant int, key uint64, giveUp, cost, memory float64,
+	tables uint32, waited float64, past []Past) {
+	b.past = past
+	b.Arrive(now, id, class, tenant, key, giveUp, cost, memory, tables, waited)
+}
+
+// enqueue has the job that arrives wait in its class's queue, or for a further dispatch, where one before may have run.
+func (b *Brain) enqueue(j *job) {
+	for i, p := range b.past {
+		e := &engine{zone: p.Zone, cell: p.Cell, slow: 1, weight: 1, part: 1}
+		j.dispatches = append(j.dispatches, &dispatch{job: j, engine: e, number: i, sent: p.At, ran: true})
+	}
+	if b.past = nil; j.first() != nil {
+		b.again = append(b.again, j)
+		return
+	}
+	j.class.queue = append(j.class.queue, j)
+}
+
+// Restarted tells that a life before ended a moment ago, and how many further dispatches of it lie in the window. What it
+// had sent to cold engines, and which keys had dispatches out, is not known: cold engines get nothing for their window,
+// keys rest for their time.
+func (b *Brain) Restarted(now float64, further float64) {
+	b.now = now
+	b.rested, b.chilled = now+b.set.KeyRest, now+b.set.FallWindow
+	b.extra.add(now, further)
+	b.settle()
+}
+
+// Learned is what a gateway has learned of a deployment, for a life after it. What it holds against an engine belongs to
+// one process of it, which Up tells.
+type Learned struct {
+	Version   int
+	UsualRead float64
+	Classes   []LearnedClass
+	Engines   []LearnedEngine
+}
+
+// LearnedClass is what was learned of a reservation type, in the settings' order.
+type LearnedClass struct {
+	Told, Work, Memory, Answers, Rated, Logs, Squares, Slow, Mean float64
+}
+
+// LearnedEngine is what was learned of an engine's process.
+type LearnedEngine struct {
+	ID       uint32
+	Up, Slow float64
+	Rest     float64 // seconds of rest that are left, where it is doubted
+	Length   float64 // of its latest rest
+	Doubted  bool
+}
+
+// learnedVersion is that of Learned; another is passed over whole.
+const learnedVersion = 1
+
+// Learned hands out what was learned.
+func (b *Brain) Learned(now float64) (l Learned) {
+	l.Version, l.UsualRead = learnedVersion, b.usualRead
+	for _, c := range b.classes {
+		l.Classes = append(l.Classes, LearnedClass{c.told, c.work, c.memory, c.answers, c.rated, c.logs, c.squares, c.slow, c.mean})
+	}
+	for _, e := range b.roster.fleet {
+		if e.doubted || e.slow != 1 {
+			l.Engines = append(l.Engines, LearnedEngine{e.id, e.up, e.slow, max(e.restUntil-now, 0), e.restLength, e.doubted})
+		}
+	}
+	return l
+}
+
+// Recall takes back what a life before had learned, so many seconds ago. Sums over answers weigh the less the older they
+// are, and figures go back to the first guesses: half of the way in each half seconds. It tells whether it was taken: not
+// of another version, or where figures are none. Engines have to be listed before.
+func (b *Brain) Recall(now, age, half float64, l Learned) bool {
+	sound := func(v ...float64) bool {
+		return !slices.ContainsFunc(v, func(v float64) bool { return math.IsNaN(v) || math.IsInf(v, 0) || math.Abs(v) > 1e12 })
+	}
+	if l.Version != learnedVersion || len(l.Classes) != len(b.classes) || !sound(l.UsualRead, age) || !(half > 0) {
+		return false
+	}
+	for _, c := range l.Classes {
+		if !sound(c.Told, c.Work, c.Memory, c.Answers, c.Rated, c.Logs, c.Squares, c.Slow, c.Mean) || !(c.Mean > 0) || !(c.Slow > 0) ||
+			min(c.Told, c.Work, c.Memory, c.Answers, c.Rated, c.Squares) < 0 {
+			return false
+		}
+	}
+	b.now = now
+	w := math.Exp2(-max(age, 0) / half)
+	toward := func(to *float64, was float64) { *to += w * (was - *to) }
+	toward(&b.usualRead, min(max(l.UsualRead, 0), 2))
+	for i, was := range l.Classes {
+		c := b.classes[i]
+		c.told, c.work, c.memory, c.answers = w*was.Told, w*was.Work, w*was.Memory, w*was.Answers
+		c.rated, c.logs, c.squares = w*was.Rated, w*was.Logs, w*was.Squares
+		toward(&c.slow, min(was.Slow, 5))
+		toward(&c.mean, was.Mean)
+	}
+	for _, was := range l.Engines {
+		e := b.roster.engines[was.ID]
+		if e == nil || e.up != was.Up || !sound(was.Slow, was.Rest, was.Length) || !(was.Slow > 0) {
+			continue
+		}
+		toward(&e.slow, min(was.Slow, 10))
+		if left := min(was.Rest, 8) - age; was.Doubted && left > 0 && b.mayDoubt() { // the rest that it had left, no more
+			e.doubted, e.restUntil, e.restLength = true, now+left, min(max(was.Length, 1), 8)
+		}
+	}
+	b.settle()
+	return true
+}
+
 // Withdrawn tells that the client has left.
 func (b *Brain) Withdrawn(now float64, id uint32) {
 	b.now = now
--- a/cmd/copperrock/duties_test.go
+++ b/cmd/copperrock/duties_test.go
@@ -85,12 +85,15 @@
 }
 
 // owner is who owns a job.
-func (b *budgeted) owner(job string) string {
-	owners, _ := b.owners(duties.Jobs)
-	if len(owners) == 0 {
-		return ""
-	}
-	return owners[duties.Slice(job, len(owners))]
+func (b *budgeted) owner(job string) (owner string) {
+	b.t.Helper()
+	b.wait(job+" has an owner", func() bool {
+		if owners, _ := b.owners(duties.Jobs); len(owners) > 0 {
+			owner = owners[duties.Slice(job, len(owners))]
+		}
+		return owner != ""
+	})
+	return owner
 }
 
 // runs are the occurrences of a job that the leader's ledger has kept.
@@ -298,7 +301,7 @@
 	t.Parallel()
 	b := newBudgeted(t, 4, 400)
 	b.wait("all four have parts", b.divided("c0", "c1", "c2", "c3"))
-	_, leader := b.view()
+	leader, _ := b.leads()
 	old := without(b.names[:3], leader)[0]
 	kept := read2(t, b.options[old].VotesPath())
 	for range 2 { // two more starts, which the others remember
--- a/cmd/copperrock/fleet.go
+++ b/cmd/copperrock/fleet.go
@@ -23,7 +23,7 @@
 )
 
 // sections are the parts of the operator's settings that parts of the program declare.
-var sections = []operator.Section{fleetSection, dutySection}
+var sections = []operator.Section{fleetSection, dutySection, storeSection}
 
 // fleetSection is the section of the operator's settings on the fleet.
 var fleetSection = operator.Section{Name: "fleet", Text: fleet.About, Declare: func(s *operator.Settings, o *schema.Object) any {
--- a/cmd/copperrock/fleet_test.go
+++ b/cmd/copperrock/fleet_test.go
@@ -197,6 +197,17 @@
 	return best, leader
 }
 
+// leads waits for a voter that leads, and gives its name and term: while a machine is busy there may be none for a moment.
+func (b *budgeted) leads() (leader string, term uint64) {
+	b.t.Helper()
+	b.wait("a voter leads", func() bool {
+		v, name := b.view()
+		leader, term = name, v.Term
+		return name != ""
+	})
+	return leader, term
+}
+
 // parts are what the leader's ledger says that each controller may spend, and how much in all.
 func (b *budgeted) parts() (all map[string]float64, sum float64) {
 	v, _ := b.view()
@@ -265,7 +276,7 @@
 	})
 
 	// A leader is killed: another leads, and its part is divided among the rest.
-	_, leader := b.view()
+	leader, _ := b.leads()
 	b.Process(leader).Kill()
 	rest := without(b.names, leader)
 	b.wait("the killed leader's part is divided", b.divided(rest...))
@@ -300,9 +311,9 @@
 	}
 
 	// A leader cut off from the other voters, but not from those who hold of it.
-	v, leader := b.view()
+	leader, term := b.leads()
 	b.Join([]string{leader}, without(b.names[:3], leader), lab.Both)
-	b.wait("another leads", func() bool { now, other := b.view(); return other != leader && now.Term > v.Term })
+	b.wait("another leads", func() bool { now, other := b.view(); return other != leader && now.Term > term })
 	b.Join([]string{leader}, without(b.names[:3], leader), lab.Link{})
 
 	// Slow links between all, and connections lost: leases hold.
@@ -465,7 +476,7 @@
 			return true
 		})
 	}
-	_, leader := b.view()
+	leader, _ := b.leads()
 	mark(leader, "slow", true)
 	order := func(amount float64) { // which is written: nothing is while the parts stand still
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -480,7 +491,7 @@
 	mark(leader, "slow", false)
 	b.wait("all four have parts", b.divided("c0", "c1", "c2", "c3"))
 	for i, fault := range []string{"full", "fails"} {
-		_, leader = b.view()
+		leader, _ = b.leads()
 		mark(leader, fault, true)
 		order(380 - float64(10*i))
 		b.wait("the voter whose disk is bad votes no more: "+fault, func() bool { return strings.Contains(b.Tail(leader, 4000), "this voter votes no more") })
--- a/cmd/copperrock/main.go
+++ b/cmd/copperrock/main.go
@@ -33,6 +33,11 @@
 		History dutiesHistory `cmd:"" help:"Tell the latest occurrences of scheduled jobs."`
 		Settle  dutiesSettle  `cmd:"" help:"Say what became of an occurrence that may have run."`
 	} `cmd:"" help:"Work that the fleet does as one."`
+	Store struct {
+		Check   storeCheck   `cmd:"" help:"Tell whether a store can be read, and what is wrong with it."`
+		Show    storeShow    `cmd:"" help:"List what is kept under clients' keys."`
+		Compact storeCompact `cmd:"" help:"Write a store anew that no controller has open."`
+	} `cmd:"" help:"Work on what outlives a crash."`
 	Demo    demoCommand    `cmd:"" help:"Run a controller among stand-in engines for some seconds, and tell what became of its jobs."`
 	Version versionCommand `cmd:"" help:"Tell the version."`
 }
--- a/cmd/copperrock/process_test.go
+++ b/cmd/copperrock/process_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"copperrock.example/copperrock/internal/fleet"
+	"copperrock.example/copperrock/internal/keep/disk"
 	"copperrock.example/copperrock/internal/keep/votes"
 	lab "copperrock.example/copperrock/internal/lab/fleet"
 	"copperrock.example/copperrock/internal/lab/standin"
@@ -25,39 +26,76 @@
 func TestMain(m *testing.M) {
 	if os.Getenv(selfRun) != "" {
 		votes.Through = func(path string, to votes.Disk) votes.Disk { return badDisk{to, path} }
+		disk.Through = func(path string, to disk.File) disk.File { return badFile{to, marks(path)} }
 		os.Exit(start(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
 
-// badDisk is a voter's disk that a test can fill, slow down or break, by files beside the votes.
+// marks is what a disk's faults are told by: files beside it, by their endings.
+type marks string
+
+func (m marks) has(fault string) bool {
+	_, err := os.Stat(string(m) + "." + fault)
+	return err == nil
+}
+
+func (m marks) write() error {
+	if m.has("full") {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+
+func (m marks) sync() error {
+	if m.has("slow") {
+		time.Sleep(2 * time.Second)
+	}
+	if m.has("fails") {
+		return syscall.EIO
+	}
+	return nil
+}
+
+// badDisk is a voter's disk that a test can fill, slow down or break; badFile is a file of a store that is.
 type badDisk struct {
 	votes.Disk
 	path string
 }
 
-func (d badDisk) has(fault string) bool {
-	_, err := os.Stat(d.path + "." + fault)
-	return err == nil
-}
-
 func (d badDisk) Write(b []byte) (int, error) {
-	if d.has("full") {
-		return 0, syscall.ENOSPC
+	if err := marks(d.path).write(); err != nil {
+		return 0, err
 	}
 	return d.Disk.Write(b)
 }
 
 func (d badDisk) Sync() error {
-	if d.has("slow") {
-		time.Sleep(2 * time.Second)
-	}
-	if d.has("fails") {
-		return syscall.EIO
+	if err := marks(d.path).sync(); err != nil {
+		return err
 	}
 	return d.Disk.Sync()
 }
 
+type badFile struct {
+	disk.File
+	marks
+}
+
+func (f badFile) Write(b []byte) (int, error) {
+	if err := f.write(); err != nil {
+		return 0, err
+	}
+	return f.File.Write(b)
+}
+
+func (f badFile) Sync() error {
+	if err := f.sync(); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
 // crowd is many controllers in processes of their own, among stand-in engines that they all use.
 type crowd struct {
 	*lab.Fleet
--- a/cmd/copperrock/run.go
+++ b/cmd/copperrock/run.go
@@ -119,6 +119,10 @@
 		}
 		group.Go(func() error { return place.Run(ctx) })
 	}
+	if o := storeOf(s); o.On() {
+		g.WithStore(o.Needed, o.Fade)
+		group.Go(func() error { return comesBack(ctx, g, o, c.logs.Part("store")) })
+	}
 	follow := c.follow(ctx, group, g, list, log)
 	group.Go(func() error { return g.Run(ctx) })
 	group.Go(func() error {
@@ -239,6 +243,7 @@
 	differs("requests", s.Fields, next.Fields)
 	differs("fleet", fleetOf(s), fleetOf(next))
 	differs("duties", dutiesOf(s), dutiesOf(next))
+	differs("store", storeOf(s), storeOf(next))
 	switch {
 	case len(s.Teams.Budgets) > 0 && len(next.Teams.Budgets) > 0:
 		if err := g.Reteam(next.Teams.Budgets); err != nil {
--- /dev/null
+++ b/cmd/copperrock/store.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"copperrock.example/copperrock/internal/base/operator"
+	"copperrock.example/copperrock/internal/base/schema"
+	"copperrock.example/copperrock/internal/gateway"
+	"copperrock.example/copperrock/internal/keep/disk"
+	"copperrock.example/copperrock/internal/keep/journal"
+	"copperrock.example/copperrock/internal/keep/recovery"
+	"copperrock.example/copperrock/internal/keep/store"
+)
+
+// storeSection is the section of the operator's settings on what outlives a crash.
+var storeSection = operator.Section{Name: "store", Text: store.About, Declare: func(s *operator.Settings, o *schema.Object) any {
+	opts := &store.Options{Self: s.Name}
+	opts.Declare(o)
+	if opts.On() && s.Fields.Retry == "" {
+		o.Fault("folder", "requests.retry names no field: no job has a key")
+	}
+	return opts
+}}
+
+// storeOf is what the settings say of the store, nil where they were not read.
+func storeOf(s *operator.Settings) *store.Options {
+	o, _ := s.More[storeSection.Name].(*store.Options)
+	return o
+}
+
+// comesBack opens the store, replays it and gives it to the gateway, and then writes what comes until ctx ends. Jobs are
+// taken once that is done and engines are known.
+func comesBack(ctx context.Context, g *gateway.Gateway, o *store.Options, log zerolog.Logger) error {
+	began := time.Now()
+	since := func() float64 { return time.Since(began).Seconds() }
+	r := recovery.New(0)
+	s, err := store.Open(*o, nil, store.Machine(), log)
+	if err != nil {
+		r.On(since(), recovery.Gave)
+		log.Error().Err(err).Bool("needed", o.Needed).Msg("the store can't be used")
+		g.Opened(nil)
+		if o.Needed {
+			return fmt.Errorf("store: %w", err)
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	r.On(since(), recovery.Opened)
+	found, machine := s.Found()
+	for _, lost := range found.Damaged {
+		log.Error().Str("lost", lost).Float64("strict_for", o.Window).Msg("the store is damaged: what is lost is taken to have run; the file is put aside as .damaged")
+	}
+	r.On(since(), recovery.Replayed)
+	s.Learn = g.Learned
+	g.Opened(s)
+	keys, _, _ := s.Keys()
+	e := log.Info().Int("records", found.Records).Int64("bytes", found.Bytes).Int("keys", keys).Bool("clean", found.Clean).Bool("machine_started", machine)
+	if found.Torn > 0 {
+		e = e.Int64("torn", found.Torn)
+	}
+	e.Msg("store replayed")
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	look := time.NewTicker(20 * time.Millisecond)
+	defer look.Stop()
+	for !r.Ready() {
+		select {
+		case err := <-done:
+			return err
+		case <-look.C:
+			if g.Engines() > 0 && r.On(since(), recovery.Listed) {
+				log.Info().Str("took", r.Took()).Msg("recovered")
+			}
+		}
+	}
+	return <-done
+}
+
+type storeFolder struct {
+	Folder string `arg:"" help:"The store's folder."`
+}
+
+// open reads a store that no process has open.
+func (c storeFolder) open(each func(kind byte, body []byte) error) (journal.Identity, journal.Found, error) {
+	folder, err := disk.Open(c.Folder, true)
+	if err != nil {
+		return journal.Identity{}, journal.Found{}, err
+	}
+	who := journal.Identity{}
+	found, err := journal.Read(folder, &who, each)
+	return who, found, err
+}
+
+type storeCheck struct{ storeFolder }
+
+// Run tells whether a store can be read, and what is wrong with it. It changes nothing.
+func (c *storeCheck) Run(out io.Writer) error {
+	who, found, err := c.open(func(byte, []byte) error { return nil })
+	if err != nil {
+		return err
+	}
+	end := "killed, or still running"
+	if found.Clean {
+		end = "ended in order"
+	}
+	fmt.Fprintf(out, "store of %s: %d records, %d bytes; %s\n", who.Name, found.Records, found.Bytes, end)
+	if found.Torn > 0 {
+		fmt.Fprintf(out, "%d bytes of writes that had not ended are passed over\n", found.Torn)
+	}
+	for _, d := range found.Damaged {
+		fmt.Fprintln(out, "damaged:", d)
+	}
+	if len(found.Damaged) > 0 {
+		return errors.New("the store is damaged")
+	}
+	return nil
+}
+
+type storeShow struct {
+	storeFolder
+	Key string `help:"One key alone."`
+}
+
+// Run lists what is kept under keys, the latest state of each.
+func (c *storeShow) Run(out io.Writer) error {
+	lines, who, _, err := store.Show(c.Folder, c.Key)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%s\tkey\ttype\tdispatches\tis\n", who)
+	for _, key := range slices.Sorted(maps.Keys(lines)) {
+		fmt.Fprintf(w, "\t%s\n", lines[key])
+	}
+	return w.Flush()
+}
+
+type storeCompact struct {
+	storeFolder
+	Name string `required:"" help:"The controller whose store it is: its name in the settings."`
+}
+
+// Run writes a store anew that no process has open: the smallest file with all that counts.
+func (c *storeCompact) Run(out io.Writer) error {
+	o := store.Defaults()
+	o.Folder, o.Self = c.Folder, c.Name
+	before, after, err := store.Compact(o)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d bytes before, %d now\n", before, after)
+	return nil
+}
--- /dev/null
+++ b/cmd/copperrock/store_test.go
@@ -0,0 +1,314 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	lab "copperrock.example/copperrock/internal/lab/fleet"
+	"copperrock.example/copperrock/internal/lab/standin"
+)
+
+// storeSettings are a controller's that has a store; its clients repeat a key in the field "again".
+const storeSettings = `{"name": "NAME", "listen": "LISTEN", "seed": "SEED",
+  "machine": {"memory_mb": 64, "sockets": 256}, "log": {"level": "info"}, "clients": {"idle": 600, "first_message": 600},
+  "deployment": {"zones": ["here"], "kinds": [{"name": "small", "cores": 4, "memory_mb": 4096}],
+    "types": [{"name": "look", "repeat": "restartable", "job_timeout": 3, "sla": 2},
+      {"name": "keyed", "repeat": "keyed", "window": KEYED, "job_timeout": 3, "sla": 2},
+      {"name": "load", "repeat": "run_once", "job_timeout": 3, "sla": 2}],
+    "engines": {"report": ["busy_reqs", "x0"], "probing": false, "streams": 32}, "rules": {"come_back": 0.05}},
+  "requests": {"retry": "again", "first": "first"},
+  "engines": {"file": "ENGINES"}, "store": {"folder": "FOLDER", "window": 30 MORE}}`
+
+// keptWindow is the window of keyed jobs there, in seconds.
+const keptWindow = 2.0
+
+// work is one piece of work of a client: all its tries have one key.
+type pieceOfWork struct {
+	key, class string
+	asked      []standin.Seen // dispatches that an engine took, and did not turn away
+	answers    []standin.Answer
+}
+
+// storeRig is one controller with a store, engines and clients that try again.
+type storeRig struct {
+	*crowd
+	folder string
+	mu     sync.Mutex
+	works  map[string]*pieceOfWork // by the first half of a job's id
+	wrong  []string
+	done   int
+}
+
+func newStoreRig(t testing.TB, seed uint64, more string, faults map[standin.Fault]float64) *storeRig {
+	r := &storeRig{folder: t.TempDir(), works: map[string]*pieceOfWork{}}
+	r.crowd = newCrowd(t, 3, seed, func(i int, e *standin.Engine) { e.Faults, e.Tell = faults, r.see })
+	r.controller("c0", strings.NewReplacer("KEYED", fmt.Sprint(keptWindow), "FOLDER", r.folder, "MORE", more).Replace(storeSettings))
+	if err := r.Start("c0"); err != nil {
+		t.Fatal(err)
+	}
+	r.up()
+	return r
+}
+
+// see checks what engines see, by their own log.
+func (r *storeRig) see(s standin.Seen) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.works[s.Ref[:8]]
+	if w == nil {
+		return
+	}
+	switch s.Do {
+	case "asked":
+		if w.class == "load" && len(w.asked) > 0 {
+			r.wrong = append(r.wrong, fmt.Sprintf("run-once %s goes to %s at %.3f, and went to %s at %.3f", w.key, s.Engine, s.At, w.asked[0].Engine, w.asked[0].At))
+		}
+		if first := w.asked; w.class == "keyed" && len(first) > 0 && s.At > first[0].At+keptWindow {
+			r.wrong = append(r.wrong, fmt.Sprintf("keyed %s goes again %.3f s after its first dispatch", w.key, s.At-first[0].At))
+		}
+		w.asked = append(w.asked, s)
+	case "refused": // it did not run
+		w.asked = slices.DeleteFunc(w.asked, func(a standin.Seen) bool { return a.Ref == s.Ref && a.Engine == s.Engine })
+	}
+}
+
+// try does one piece of work to its end: it is asked for again under its key while its answer is lost or put off, and once
+// more after it was done.
+func (r *storeRig) try(ctx context.Context, n int, class string, work float64) {
+	id := fmt.Sprintf("%08x", n)
+	w := &pieceOfWork{key: "key-" + id, class: class}
+	r.mu.Lock()
+	r.works[id] = w
+	r.mu.Unlock()
+	var client *standin.Client
+	defer func() {
+		if client != nil {
+			client.Close()
+		}
+	}()
+	finals, rows := 0, ""
+	for try := 0; ctx.Err() == nil && try < 400; try++ {
+		if client == nil {
+			c, err := standin.Dial(r.addresses[0])
+			if err != nil {
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			client = c
+		}
+		more := map[string]string{"again": w.key}
+		if try == 0 {
+			more["first"] = "1"
+		}
+		a := client.Ask(ctx, standin.Job{Ref: fmt.Sprintf("%s%08x", id, try), Type: class, Allow: 3, Work: work, Memory: 40, More: more,
+			Statement: fmt.Sprintf("/* work=%.4f mb=40 */ insert 1", work)})
+		switch a.Outcome {
+		case standin.Lost:
+			client.Close()
+			client = nil
+			continue
+		case standin.Throttled:
+			time.Sleep(time.Duration(max(a.ComeBack, 0.01) * float64(time.Second)))
+			continue
+		}
+		r.mu.Lock()
+		w.answers = append(w.answers, a)
+		if a.Outcome == standin.Done && class != "look" {
+			if rows != "" && a.Rows != rows {
+				r.wrong = append(r.wrong, fmt.Sprintf("%s had rows %q, and then %q", w.key, rows, a.Rows))
+			}
+			rows = a.Rows
+		}
+		if rows != "" && a.Outcome == standin.Cancelled && class != "look" {
+			r.wrong = append(r.wrong, fmt.Sprintf("%s was done, and then %s: %s", w.key, a.Outcome, a.Why))
+		}
+		if class == "load" && a.Why == "may have run" && len(w.asked) == 0 && w.answers[0].Why == "may have run" {
+			r.done++ // in doubt, which is allowed; it shows that nothing ran
+		}
+		r.done++
+		r.mu.Unlock()
+		if finals++; finals == 2 {
+			return
+		}
+	}
+}
+
+// crashes has clients work while the controller is killed so many times, each time at a moment drawn from the seed, and
+// started again at once.
+func (r *storeRig) crashes(t testing.TB, kills int, seed uint64, clients int) (works int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var all sync.WaitGroup
+	var next sync.Mutex
+	for i := range clients {
+		draws := rand.New(rand.NewPCG(seed, uint64(10+i)))
+		all.Go(func() {
+			for ctx.Err() == nil {
+				next.Lock()
+				works++
+				n := works
+				next.Unlock()
+				r.try(context.Background(), n, []string{"look", "keyed", "load", "load"}[draws.IntN(4)], 0.002+0.02*draws.Float64())
+			}
+		})
+	}
+	draws := rand.New(rand.NewPCG(seed, 1))
+	for range kills {
+		time.Sleep(time.Duration((0.02 + 0.15*draws.Float64()) * float64(time.Second)))
+		r.Process("c0").Kill()
+		if err := r.Process("c0").Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.up()
+	time.Sleep(200 * time.Millisecond)
+	cancel()
+	all.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ran := 0
+	for _, w := range r.works {
+		ran += len(w.asked)
+	}
+	t.Logf("seed %d: %d kills, %d pieces of work, %d dispatches at engines, %d final answers", seed, kills, works, ran, r.done)
+	for _, wrong := range r.wrong {
+		t.Errorf("SEED=%d: %s", seed, wrong)
+	}
+	if works < 5*kills/2 {
+		t.Errorf("only %d pieces of work", works)
+	}
+	return works
+}
+
+// A controller is killed again and again, at points drawn from a seed, while clients try again under their keys and engines
+// fail now and then: by the engines' own log no run-once job goes twice, no keyed one beyond its window, and an answer stays
+// what it was. CRASHES asks for more kills, SEED for another draw.
+func TestStoreOverKills(t *testing.T) {
+	kills, seed := 12, uint64(1)
+	fmt.Sscan(os.Getenv("CRASHES"), &kills)
+	fmt.Sscan(os.Getenv("SEED"), &seed)
+	r := newStoreRig(t, seed, `, "file_mb": 0.02`, map[standin.Fault]float64{standin.Reset: 0.03, standin.Fail: 0.03, standin.Full: 0.03})
+	r.crashes(t, kills, seed, 8)
+	// What is left ends in order, and can be read.
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := r.Process("c0").Leave(ctx); err != nil {
+		t.Error(err)
+	}
+	run := func(args ...string) string {
+		var out, errs bytes.Buffer
+		if code := start(args, &out, &errs); code != 0 {
+			t.Errorf("%v: %d, %s", args, code, errs.String())
+		}
+		return out.String()
+	}
+	if got := run("store", "check", r.folder); !strings.Contains(got, "ended in order") {
+		t.Error(got)
+	}
+	if got := run("store", "show", r.folder); !strings.Contains(got, "run-once") {
+		t.Error(got)
+	}
+	if got := run("store", "compact", r.folder, "--name", "c0"); !strings.Contains(got, "bytes before") {
+		t.Error(got)
+	}
+	if got := run("store", "check", r.folder); !strings.Contains(got, "store of c0") {
+		t.Error(got)
+	}
+}
+
+// The same checker finds a controller that keeps nothing: without a store the same kills have run-once jobs run twice.
+func TestKillsWithoutStore(t *testing.T) {
+	r := &storeRig{folder: t.TempDir(), works: map[string]*pieceOfWork{}}
+	r.crowd = newCrowd(t, 3, 1, func(i int, e *standin.Engine) { e.Tell = r.see })
+	settings := strings.NewReplacer("KEYED", fmt.Sprint(keptWindow), `, "store": {"folder": "FOLDER", "window": 30 MORE}`, "").Replace(storeSettings)
+	r.controller("c0", settings)
+	if err := r.Start("c0"); err != nil {
+		t.Fatal(err)
+	}
+	r.up()
+	quiet := &silent{TB: t}
+	for seed := uint64(1); seed < 8 && len(r.wrong) == 0; seed++ {
+		r.crashes(quiet, 6, seed, 8)
+	}
+	if len(r.wrong) == 0 {
+		t.Error("nothing was found wrong without a store")
+	}
+}
+
+// silent is a test whose errors are looked for.
+type silent struct{ testing.TB }
+
+func (s *silent) Errorf(string, ...any) {}
+
+// Its disk fails under a controller, and comes back: what needs no record goes on, what needs one is throttled at once or
+// goes all the same, as the settings say, and all is on record again once the disk is back.
+func TestStoreWithoutDisk(t *testing.T) {
+	r := newStoreRig(t, 1, `, "retry": 0.05`, nil)
+	ask := func(class, key string) standin.Answer {
+		client, err := standin.Dial(r.addresses[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		r.mu.Lock()
+		n := len(r.works) + 1
+		id := fmt.Sprintf("%08x", n)
+		r.works[id] = &pieceOfWork{key: key, class: class}
+		r.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		return client.Ask(ctx, standin.Job{Ref: id + "00000000", Type: class, Allow: 3, Work: 0.01, Memory: 40, More: map[string]string{"again": key}, Statement: "/* work=0.01 mb=40 */ insert 1"})
+	}
+	if a := ask("load", "one"); a.Outcome != standin.Done {
+		t.Fatalf("%+v", a)
+	}
+	mark := func(fault string, on bool) {
+		path := r.folder + "." + fault
+		if !on {
+			os.Remove(path)
+		} else if err := os.WriteFile(path, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	mark("full", true)
+	t.Cleanup(func() { mark("full", false) })
+	began := time.Now()
+	a := ask("load", "two")
+	if a.Outcome != standin.Throttled || time.Since(began) > time.Second {
+		t.Errorf("a run-once job on a full disk: %+v", a)
+	}
+	if a := ask("look", "three"); a.Outcome != standin.Done {
+		t.Errorf("a restartable job on a full disk: %+v", a)
+	}
+	if a := ask("load", "one"); a.Outcome != standin.Done {
+		t.Errorf("an answer that is known, on a full disk: %+v", a)
+	}
+	mark("full", false)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := lab.Until(ctx, "the disk is taken up again", func() bool { return strings.Contains(r.Tail("c0", 1<<16), "takes records again") }); err != nil {
+		t.Fatal(err)
+	}
+	if a := ask("load", "two"); a.Outcome != standin.Done {
+		t.Errorf("once the disk is back: %+v", a)
+	}
+	r.Process("c0").Kill()
+	if err := r.Process("c0").Start(); err != nil {
+		t.Fatal(err)
+	}
+	r.up()
+	if a := ask("load", "two"); a.Outcome != standin.Done {
+		t.Errorf("after a kill: %+v", a)
+	}
+	for _, wrong := range r.wrong {
+		t.Error(wrong)
+	}
+}
--- a/internal/base/operator/operator.go
+++ b/internal/base/operator/operator.go
@@ -29,7 +29,7 @@
 	Limits  limits.Limits
 	Log     logging.Options
 	Engines Engines
-	Fields  struct{ Team, Customer, Key, Wait string } // of a request
+	Fields  struct{ Team, Customer, Key, Wait, Retry, First string } // of a request
 	Teams   Teams
 	More    map[string]any // what further sections read, by their names
 }
@@ -156,8 +156,10 @@
 		o.Text(&s.Fields.Customer, "customer", "field that holds the customer, whose share deployment.customers gives")
 		o.Text(&s.Fields.Key, "key", "field that holds the order key, for types in order")
 		o.Text(&s.Fields.Wait, "wait", "field by which a request asks to be told how long it will wait")
+		o.Text(&s.Fields.Retry, "retry", "field with a key that the client repeats with each try of a job, for the store")
+		o.Text(&s.Fields.First, "first", "field by which the client says that this is the first try of its key")
 		seen := map[string]string{"ref": "", "allow": "", "effort": "", "need_mb": ""}
-		for _, f := range [][2]string{{"team", s.Fields.Team}, {"customer", s.Fields.Customer}, {"key", s.Fields.Key}, {"wait", s.Fields.Wait}} {
+		for _, f := range [][2]string{{"team", s.Fields.Team}, {"customer", s.Fields.Customer}, {"key", s.Fields.Key}, {"wait", s.Fields.Wait}, {"retry", s.Fields.Retry}, {"first", s.Fields.First}} {
 			name, field := f[0], f[1]
 			if _, taken := seen[field]; taken && field != "" {
 				o.Fault(name, "%q is a field of another use already", field)
--- a/internal/base/operator/operator_test.go
+++ b/internal/base/operator/operator_test.go
@@ -12,6 +12,7 @@
 	"copperrock.example/copperrock/internal/base/schema"
 	"copperrock.example/copperrock/internal/base/settings"
 	"copperrock.example/copperrock/internal/fleet"
+	"copperrock.example/copperrock/internal/keep/store"
 	"copperrock.example/copperrock/internal/lab/testkit"
 	"copperrock.example/copperrock/internal/members"
 )
@@ -30,7 +31,7 @@
 Where a platform tells the program what to do (` + "`LB_CONFIG`" + `), that holds for all that this file leaves out; what stands in this
 file goes first. A ` + "`deployment`" + ` given here replaces the platform's whole. This page is written from the declarations in
 ` + "`internal/base/operator`" + ` and ` + "`internal/members`" + `.
-` + schema.Markdown(Describe(fleetSection)) + `
+` + schema.Markdown(Describe(fleetSection, storeSection)) + `
 # The list of engines
 
 The file that ` + "`engines.file`" + ` names; ` + "`docs/operators/engines-file.md`" + ` tells how it is followed.
@@ -122,6 +123,13 @@
 	}
 }
 
+// storeSection is declared as the program does it.
+var storeSection = Section{Name: "store", Text: store.About, Declare: func(_ *Settings, o *schema.Object) any {
+	opts := &store.Options{}
+	opts.Declare(o)
+	return opts
+}}
+
 // fleetSection is declared as the program does it.
 var fleetSection = Section{Name: "fleet", Text: fleet.About, Declare: func(_ *Settings, o *schema.Object) any {
 	f := &fleet.Options{}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -46,8 +46,9 @@
 	Pool   *buffer.Pool
 	Log    zerolog.Logger
 
-	// Names are the fields that hold a job's team, customer and order key, and that which asks for its wait; "" for none.
-	Names struct{ Team, Customer, Key, Wait string }
+	// Names are the fields that hold a job's team, customer and order key, that which asks for its wait, the key that all
+	// tries of it have, and that which says that this is the first one; "" for none.
+	Names struct{ Team, Customer, Key, Wait, Retry, First string }
 
 	// ComeBack is when the client of a job that a bound turned away may come back, 0 where it heeds no advice.
 	ComeBack float64
@@ -312,7 +313,7 @@
 			return shape
 		}
 	}
-	to := &reply{conn: c, id: uint32(id)}
+	to := &reply{conn: c, id: uint32(id), retry: f.retry, first: f.first}
 	c.mu.Lock()
 	twice := c.open[to.id]
 	crowd := len(c.open) >= c.Limits.JobsPerConn || c.owed >= 2*c.Limits.JobsPerConn // or it does not read
@@ -356,8 +357,10 @@
 type fields struct {
 	ref, bad            string
 	team, customer, key string
-	asks                bool // to be told its wait
-	full                bool // no buffer was left for it
+	retry               string // the key that all tries have
+	first               bool   // it is the first one
+	asks                bool   // to be told its wait
+	full                bool   // no buffer was left for it
 	allow, work, memory float64
 }
 
@@ -418,6 +421,10 @@
 			f.key = value
 		case c.Names.Wait:
 			f.asks = true
+		case c.Names.Retry:
+			f.retry = value
+		case c.Names.First:
+			f.first = value != "" && value != "0" && value != "false"
 		}
 	}
 	if f.bad == "" && (f.ref == "" || f.allow == 0 || told != 3) {
@@ -525,8 +532,13 @@
 	id    uint32
 	leave context.CancelFunc
 	done  bool // answered
+	retry string
+	first bool
 }
 
+// Repeats tells the key that all tries of the job have, "" for none, and whether its client says that it is the first.
+func (a *reply) Repeats() (key string, first bool) { return a.retry, a.first }
+
 func (a *reply) head() []byte { return putInt([]byte{0x94, 1}, int64(a.id)) }
 
 // Done gives the rows, which are the reply's from here.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	leaving bool           // for good
 	spares  *engine.Spares // nil without a bound
 	among   [2]int         // this gateway's number, and of how many
+	keeps   *keeping       // what outlives the gateway, nil for nothing
 	orders  orders
 }
 
@@ -94,9 +95,9 @@
 
 // step is one decision on a job.
 type step struct {
-	do       decision
-	number   int // of the dispatch
-	process  *engine.Engine
+	do     decision
+	number int // of the dispatch
+	place
 	grant    float64
 	priority int
 	comeBack float64
@@ -235,7 +236,7 @@
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ready
+	return g.ready && (g.keeps == nil || !g.keeps.opening && (g.keeps.store != nil || !g.keeps.needed))
 }
 
 // SetReady tells that the gateway begins or ceases to take jobs.
@@ -265,8 +266,17 @@
 		to.Failed("unknown reservation type")
 		return
 	}
+	kept, known := g.lookUp(left, to, number, allow)
+	if known {
+		return
+	}
+	var before []brain.Past
+	if kept != nil {
+		defer kept.close()
+		to, before = kept, kept.before
+	}
 	most := g.settings.Brain.MostDispatches
-	j := &job{ref: ref, priority: 1, steps: make(chan step, 4*most+4)}
+	j := &job{ref: ref, priority: 1, steps: make(chan step, 4*most+4), sent: len(before)}
 	tables := statement.Tables(text.Bytes())
 	margin := min(g.limits.Margin, allow*g.limits.MarginShare)
 	giveUp := g.now() + allow - margin
@@ -279,7 +289,7 @@
 			j.id, came = g.lastJob, now
 			g.jobs[j.id] = j
 			j.hand = func(now float64) {
-				g.brain.Arrive(now, j.id, number, g.customer(customer), orderOf(key), giveUp, work, memory, tables, now-came)
+				g.brain.ArriveAgain(now, j.id, number, g.customer(customer), orderOf(key), giveUp, work, memory, tables, now-came, before)
 			}
 			if g.stage == nil {
 				j.hand(now)
@@ -338,8 +348,8 @@
 			case cancelForGood:
 				end(func() { to.Failed("cancelled for good") })
 			case callOff:
-				if s.number < len(calls) {
-					calls[s.number].giveUp()
+				if at := s.number - len(before); at >= 0 && at < len(calls) {
+					calls[at].giveUp()
 				}
 			case prefer:
 				for _, call := range calls {
@@ -350,6 +360,13 @@
 				if still {
 					fence, still = g.fence(to)
 				}
+				if still && kept != nil {
+					if err := kept.sends(s.name, s.zone, s.cell, until); err != nil {
+						still = false
+						g.log.Warn().Err(err).Str("ref", ref).Msg("throttled: a dispatch could not be put on record")
+						end(func() { to.Throttled(g.settings.Brain.MostComeBack) })
+					}
+				}
 				if !still { // answered meanwhile, or its work is another's by now
 					s.process = nowhere()
 				}
@@ -372,6 +389,9 @@
 						status = brain.TimedOut
 					}
 					outcomes <- func() {
+						if kept != nil {
+							kept.ends(s.number-len(before), status)
+						}
 						// Answered.
 						if status == brain.Done && !over {
 							end(func() { to.Done(call.Rows()) })
@@ -469,6 +489,7 @@
 		}
 		g.brain.RosterEnds(now)
 		g.boundSpares()
+		g.recalled(now)
 		if g.stage != nil {
 			g.carry(now, g.stage.Capacity(now, g.cores()))
 		}
@@ -585,11 +606,14 @@
 	if j == nil {
 		return
 	}
-	process := nowhere()
+	at := place{process: nowhere()}
 	if e != nil && e.process != nil {
-		process = e.process
+		at = place{e.last.Name, index(g.settings.Zones, e.last.Zone), e.last.Cell, e.process}
+	}
+	g.step(id, step{do: dispatch, number: j.sent, place: at, grant: j.grant, priority: j.priority})
+	if j.sent > 0 && g.keeps != nil && g.keeps.store != nil {
+		g.keeps.store.Further()
 	}
-	g.step(id, step{do: dispatch, number: j.sent, process: process, grant: j.grant, priority: j.priority})
 	j.sent++
 	j.out++
 	if g.stage != nil {
--- /dev/null
+++ b/internal/gateway/keep.go
@@ -0,0 +1,255 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"copperrock.example/copperrock/brain"
+	"copperrock.example/copperrock/internal/base/buffer"
+	"copperrock.example/copperrock/internal/base/limits"
+	"copperrock.example/copperrock/internal/client"
+	"copperrock.example/copperrock/internal/engine"
+	"copperrock.example/copperrock/internal/keep/past"
+	"copperrock.example/copperrock/internal/keep/store"
+)
+
+// What outlives the gateway: jobs whose clients name a key that they repeat with each try are looked up in the store before
+// the module hears of them, each dispatch is put on record before it goes, and the final answer after it was given.
+
+// Repeated is a job's answer whose client names the key that all its tries have; first tells that it says this is the
+// first one.
+type Repeated interface {
+	Repeats() (key string, first bool)
+}
+
+// keeping is the gateway's side of the store; nil where there is none.
+type keeping struct {
+	store    *store.Store // nil until it is open, or where it can't be used
+	needed   bool         // no job is taken without it
+	opening  bool
+	fade     float64
+	remember func(now float64) // gives the module what was learned, once engines are listed; nil once done
+}
+
+// WithStore says that there will be a store. Until it is open jobs that name a key are throttled; needed has the gateway
+// take none at all, and not be ready.
+func (g *Gateway) WithStore(needed bool, fade float64) {
+	g.keeps = &keeping{needed: needed, opening: true, fade: fade}
+}
+
+// Opened hands over the store, replayed; nil says that it can't be used.
+func (g *Gateway) Opened(s *store.Store) {
+	g.enter(func(now float64) {
+		k := g.keeps
+		k.opening, k.store = false, s
+		if s == nil {
+			return
+		}
+		if found, machine := s.Found(); found.Records > 0 {
+			n, known := s.FurtherWithin(g.settings.Brain.ExtraWindow)
+			further := float64(n)
+			if !known || machine { // as if all that any window may hold had gone
+				further = max(further, g.settings.Brain.ExtraFree)
+			}
+			g.brain.Restarted(now, further)
+		}
+		if text, age := s.Learned(); len(text) > 0 {
+			k.remember = func(now float64) { g.recall(now, text, age) }
+			g.recalled(now)
+		}
+	})
+}
+
+// recalled gives the module what was learned as soon as it knows of engines. Its lock is held.
+func (g *Gateway) recalled(now float64) {
+	if k := g.keeps; k != nil && k.remember != nil && len(g.engines) > 0 {
+		remember := k.remember
+		k.remember = nil
+		remember(now)
+	}
+}
+
+// learnt is what was learned, with what it belongs to.
+type learnt struct {
+	Classes []string
+	What    brain.Learned
+}
+
+// Learned gives what the module has learned, for the store.
+func (g *Gateway) Learned() []byte {
+	g.mu.Lock()
+	l := learnt{g.settings.Classes, g.brain.Learned(g.now())}
+	g.mu.Unlock()
+	text, err := msgpack.Marshal(l)
+	if err != nil {
+		g.log.Error().Err(err).Msg("what was learned can't be written")
+		return nil
+	}
+	return text
+}
+
+// recall gives the module what a life before had learned.
+func (g *Gateway) recall(now float64, text []byte, age float64) {
+	var l learnt
+	taken := msgpack.Unmarshal(text, &l) == nil && slices.Equal(l.Classes, g.settings.Classes) && g.brain.Recall(now, age, g.keeps.fade, l.What)
+	g.log.Info().Bool("taken", taken).Float64("age", age).Msg("what was learned before")
+}
+
+// kept is a job that the store knows of; its answer passes here on the way to the client.
+type kept struct {
+	client.Answer
+	g      *Gateway
+	ticket *store.Ticket
+	most   int // bytes of rows that are kept
+
+	before  []brain.Past
+	numbers []int // of dispatches, as the store has them
+
+	mu   sync.Mutex
+	told bool
+}
+
+// lookUp looks a job up. over tells that it has been answered, or has to be throttled; k is nil where nothing is kept of it.
+func (g *Gateway) lookUp(left context.Context, to client.Answer, number int, allow float64) (k *kept, over bool) {
+	if g.keeps == nil {
+		return nil, false
+	}
+	key, first := "", false
+	if r, is := to.(Repeated); is {
+		key, first = r.Repeats()
+	}
+	comeBack := g.settings.Brain.MostComeBack
+	g.mu.Lock()
+	s, opening, needed := g.keeps.store, g.keeps.opening, g.keeps.needed
+	g.mu.Unlock()
+	switch {
+	case opening && (key != "" || needed), s == nil && !opening && needed:
+		to.Throttled(comeBack)
+		return nil, true
+	case s == nil || key == "":
+		return nil, false
+	}
+	c := g.settings.Brain.Classes[number]
+	switch t := s.Take(key, past.Effect(c.Effect), c.Window, first); t.Verdict {
+	case past.Answered:
+		g.again(to, t.Final)
+	case past.MayHaveRun:
+		to.Failed("may have run")
+	case past.NoRoom:
+		to.Throttled(comeBack)
+	case past.Joined:
+		if t.Joined == nil {
+			to.Throttled(comeBack)
+			break
+		}
+		margin := min(g.limits.Margin, allow*g.limits.MarginShare)
+		late := time.NewTimer(limits.Duration(allow - margin))
+		defer late.Stop()
+		select {
+		case f := <-t.Joined:
+			g.again(to, f)
+		case <-late.C:
+			to.Throttled(comeBack)
+		case <-left.Done():
+		}
+	default:
+		if t.Ticket == nil {
+			return nil, false
+		}
+		k = &kept{Answer: to, g: g, ticket: t.Ticket, most: s.MostRows()}
+		for _, d := range t.Before {
+			if !d.Over || d.Ran {
+				k.before = append(k.before, brain.Past{At: g.now() - d.At, Zone: d.Zone, Cell: d.Cell})
+			}
+		}
+		return k, false
+	}
+	return nil, true
+}
+
+// again gives an answer that another try had.
+func (g *Gateway) again(to client.Answer, f store.Final) {
+	switch {
+	case f.Outcome == past.Done && f.Whole:
+		rows := g.pool.NewChain()
+		if err := rows.Fill(bytes.NewReader(f.Rows), len(f.Rows)); err != nil {
+			rows.Free()
+			to.Throttled(g.settings.Brain.MostComeBack)
+			return
+		}
+		to.Done(rows)
+	case f.Outcome == past.Done:
+		to.Failed("done before; its rows were not kept")
+	case f.Outcome == past.Unclear:
+		to.Failed("may have run")
+	case f.Outcome == past.Failed:
+		to.Failed("cancelled for good")
+	default:
+		to.Throttled(f.ComeBack)
+	}
+}
+
+// Fence passes an owner's word on.
+func (k *kept) Fence() (fence string, still bool) { return k.g.fence(k.Answer) }
+
+// sends puts a dispatch on record before it goes.
+func (k *kept) sends(name string, zone, cell int, until time.Time) error {
+	number, err := k.ticket.Sends(name, zone, cell, time.Until(until))
+	k.numbers = append(k.numbers, number)
+	return err
+}
+
+// ends tells of the end of the so manieth dispatch of this life.
+func (k *kept) ends(at int, status brain.Status) {
+	if at >= 0 && at < len(k.numbers) {
+		k.ticket.Ends(k.numbers[at], status != brain.Full && status != brain.NoConnection && status != brain.Moot)
+	}
+}
+
+// tells has the store, and those who joined, hear of the answer once.
+func (k *kept) tells(f store.Final) {
+	k.mu.Lock()
+	told := k.told
+	k.told = true
+	k.mu.Unlock()
+	if !told {
+		k.ticket.Answer(f)
+	}
+}
+
+// Done keeps the rows where they are few.
+func (k *kept) Done(rows *buffer.Chain) {
+	f := store.Final{Outcome: past.Done}
+	if rows.Size() <= k.most {
+		f.Rows, f.Whole = slices.Clone(rows.Bytes()), true
+	}
+	k.tells(f)
+	k.Answer.Done(rows)
+}
+
+// Throttled binds nobody.
+func (k *kept) Throttled(comeBack float64) {
+	k.tells(store.Final{ComeBack: comeBack})
+	k.Answer.Throttled(comeBack)
+}
+
+// Failed is for good, where the type has it so.
+func (k *kept) Failed(why string) {
+	k.tells(store.Final{Outcome: past.Failed, Why: why})
+	k.Answer.Failed(why)
+}
+
+// close ends a job that was not answered: its client has left.
+func (k *kept) close() { k.tells(store.Final{ComeBack: k.g.settings.Brain.MostComeBack}) }
+
+// place is an engine as a record names it.
+type place struct {
+	name       string
+	zone, cell int
+	process    *engine.Engine
+}
--- /dev/null
+++ b/internal/keep/disk/disk.go
@@ -0,0 +1,138 @@
+// Package disk is what the store needs of a file system: files that are appended to, synced, renamed and removed, in one
+// folder. The real one is the machine's; tests put one in its place that forgets what was not synced.
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"golang.org/x/sys/unix"
+)
+
+// File is an open file. What was written is surely there after a crash of the machine only once Sync has returned nil; a
+// Sync that failed tells nothing of what is on the disk, and the file is not written to again.
+type File interface {
+	io.Writer
+	Sync() error
+	Close() error
+}
+
+// Folder is a folder of files, by their names.
+type Folder interface {
+	List() (names []string, err error) // sorted
+	Read(name string) ([]byte, error)
+	Create(name string) (File, error)           // new, to be appended to; it must not be there
+	Append(name string, at int64) (File, error) // cut to a size, to be appended to
+	Rename(from, to string) error
+	Remove(name string) error
+	Sync() error // names that were created, renamed and removed
+	Close() error
+}
+
+// ErrHeld tells that a live process has the folder.
+var ErrHeld = errors.New("another process has it open")
+
+// Through, where set, stands between files and the disk. It is set before any folder is opened.
+var Through func(path string, to File) File
+
+// through puts it in between.
+func through(path string, f *os.File, err error) (File, error) {
+	if err != nil {
+		return nil, err
+	}
+	if Through != nil {
+		return Through(path, f), nil
+	}
+	return f, nil
+}
+
+// Open makes the folder if need be and locks it for this process. For reading alone it is neither made nor locked.
+func Open(path string, readOnly bool) (Folder, error) {
+	d := &folder{path: path}
+	if readOnly {
+		_, err := os.Stat(path)
+		return d, err
+	}
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, err
+	}
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		lock.Close()
+		if errors.Is(err, unix.EWOULDBLOCK) {
+			return nil, fmt.Errorf("%s: %w", path, ErrHeld)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	d.lock = lock
+	return d, nil
+}
+
+type folder struct {
+	path string
+	lock *os.File
+}
+
+func (d *folder) at(name string) string { return filepath.Join(d.path, name) }
+
+func (d *folder) List() (names []string, err error) {
+	entries, err := os.ReadDir(d.path)
+	for _, e := range entries {
+		if e.Type().IsRegular() && e.Name() != "lock" && !strings.HasPrefix(e.Name(), ".") {
+			names = append(names, e.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, err
+}
+
+func (d *folder) Read(name string) ([]byte, error) { return os.ReadFile(d.at(name)) }
+
+func (d *folder) Create(name string) (File, error) {
+	f, err := os.OpenFile(d.at(name), os.O_WRONLY|os.O_CREATE|os.O_EXCL|os.O_APPEND, 0o600)
+	return through(d.path, f, err)
+}
+
+func (d *folder) Append(name string, at int64) (File, error) {
+	f, err := os.OpenFile(d.at(name), os.O_WRONLY|os.O_APPEND, 0o600)
+	if err == nil {
+		if err = f.Truncate(at); err != nil {
+			f.Close()
+		}
+	}
+	return through(d.path, f, err)
+}
+
+func (d *folder) Rename(from, to string) error { return os.Rename(d.at(from), d.at(to)) }
+
+func (d *folder) Remove(name string) error {
+	if err := os.Remove(d.at(name)); !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+func (d *folder) Sync() error {
+	f, err := os.Open(d.path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+func (d *folder) Close() error {
+	if d.lock == nil {
+		return nil
+	}
+	return d.lock.Close()
+}
