--- a/internal/base/operator/operator_test.go
+++ b/internal/base/operator/operator_test.go
@@ -63,6 +63,11 @@
 	if _, err := members.Parse(s.Engines.File, text, s.Engines.Bounds()); err != nil {
 		t.Fatal(err)
 	}
+	for file, more := range map[string]Section{"store.jsonc": storeSection, "fleet.jsonc": fleetSection} {
+		if _, err := Read(filepath.Join(root, "deploy", file), nil, more); err != nil {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
 }
 
 const least = `{"listen": "127.0.0.1:0", "engines": {"file": "e"}, "deployment": {"kinds": [{"name": "k", "cores": 4, "memory_mb": 100}],
--- a/internal/keep/store/store.go
+++ b/internal/keep/store/store.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -69,7 +70,7 @@
 	past    *past.Past
 	further []float64 // further dispatches of late
 	pending []byte
-	waiting []chan<- error
+	waiting []waiter
 	behind  bool // records were dropped: all has to be written anew
 	joined  map[*past.Entry][]chan Final
 	learned []byte
@@ -146,12 +147,12 @@
 		chores.Kind{Name: expire, Rank: 2, Every: 1, CPU: 0.1}, chores.Kind{Name: learn, Rank: 3, Every: o.Learned, CPU: 0.1})
 	s.put(journal.Record(s.past.Written(), lifeKind, life{clock.Start, s.offset}.bytes()), nil)
 	if len(s.found.Damaged) > 0 || s.journal.Down() != nil { // before any record is written
-		s.plan.Want(s.now(), mend)
-		for s.journal.Down() != nil {
-			if _, more, err := s.step(mend); err != nil || !more {
-				break
+		for more := true; more; {
+			if _, more, err = s.step(mend); err != nil {
+				s.plan.Want(s.now(), mend)
 			}
 		}
+		err = nil
 	}
 	s.down = s.journal.Down() != nil
 	return s, nil
@@ -173,6 +174,13 @@
 // MostRows is how many bytes of rows are kept with an answer.
 func (s *Store) MostRows() int { return int(s.options.Answers * 1024) }
 
+// Behind is how many bytes wait to be written.
+func (s *Store) Behind() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending)
+}
+
 // Down tells whether the disk takes no records now.
 func (s *Store) Down() bool {
 	s.mu.Lock()
@@ -211,8 +219,19 @@
 	return nil
 }
 
-// put adds records to what waits to be written, with the lock held. done hears once they are on the disk, or why not.
-func (s *Store) put(records []byte, done chan<- error) {
+// waiter hears once what was put is written, and with sync is on the disk, or why not.
+type waiter struct {
+	done chan<- error
+	sync bool
+}
+
+// put adds records to what waits to be written, with the lock held. done, where it is not nil, hears once they are on the
+// disk.
+func (s *Store) put(records []byte, done chan<- error) { s.add(records, waiter{done, true}) }
+
+// add is put for one who may not need the sync.
+func (s *Store) add(records []byte, w waiter) {
+	done := w.done
 	if done != nil && (s.down || s.behind) {
 		done <- journal.ErrDown
 		done = nil
@@ -222,7 +241,7 @@
 	case len(s.pending)+len(records) > mostPending:
 		s.behind = true
 		for _, w := range s.waiting {
-			w <- journal.ErrDown
+			w.done <- journal.ErrDown
 		}
 		if done != nil {
 			done <- journal.ErrDown
@@ -231,7 +250,7 @@
 	default:
 		s.pending = append(s.pending, records...)
 		if done != nil {
-			s.waiting = append(s.waiting, done)
+			s.waiting = append(s.waiting, w)
 		}
 	}
 	select {
@@ -334,21 +353,44 @@
 	s.put(s.past.Written(), nil)
 }
 
+// answerWait bounds how long an answer waits to be written. It comes in some tens of microseconds where the disk is not
+// stuck, and then the answer is not held back for it.
+const answerWait = 20 * time.Millisecond
+
 // Answer tells the job's final answer, to the store and to all who joined; only the first counts. An outcome of Open is
-// one that binds nobody.
+// one that binds nobody. One that binds is written when it returns, though not on the disk yet: it outlives the process,
+// and where the machine crashes the job may have run.
 func (t *Ticket) Answer(f Final) {
 	s := t.s
+	var written chan error
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if t.over {
+		s.mu.Unlock()
 		return
 	}
 	t.over = true
+	defer func() {
+		s.mu.Unlock()
+		if written == nil {
+			return
+		}
+		late := time.NewTimer(answerWait)
+		defer late.Stop()
+		select {
+		case <-written:
+		case <-late.C:
+		}
+	}()
 	s.past.Answer(s.now(), t.entry, f.Outcome, f.Rows, f.Whole)
 	for _, answer := range s.joined[t.entry] {
 		answer <- f // each has room for one
 	}
 	delete(s.joined, t.entry)
+	if f.Outcome != past.Open && past.Needs(t.effect) {
+		written = make(chan error, 1)
+		s.add(s.past.Written(), waiter{written, false})
+		return
+	}
 	s.put(s.past.Written(), nil)
 }
 
@@ -386,7 +428,7 @@
 			n++
 		}
 	}
-	return n, len(s.found.Damaged) == 0 && (s.found.Clean || !s.machine)
+	return n, s.past.Gap() == 0 && (s.found.Clean || !s.machine)
 }
 
 // Learned is what a life before had learned, and how many seconds ago; nil for nothing.
@@ -455,7 +497,7 @@
 	s.mu.Unlock()
 	s.dirty = s.dirty || len(records) > 0
 	every := time.Duration(s.options.Sync * float64(time.Second))
-	sync := len(waiting) > 0 || s.dirty && (last || time.Since(s.synced) >= every)
+	sync := slices.ContainsFunc(waiting, func(w waiter) bool { return w.sync }) || s.dirty && (last || time.Since(s.synced) >= every)
 	if len(records) == 0 && !sync {
 		return
 	}
@@ -466,7 +508,7 @@
 		s.synced, s.dirty = time.Now(), false
 	}
 	for _, w := range waiting {
-		w <- err
+		w.done <- err
 	}
 	s.mu.Lock()
 	if took > time.Duration(s.options.Wait*float64(time.Second))/2 {
--- /dev/null
+++ b/internal/keep/store/store_test.go
@@ -0,0 +1,381 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"copperrock.example/copperrock/internal/keep/past"
+	"copperrock.example/copperrock/internal/lab/forgetful"
+	"copperrock.example/copperrock/internal/lab/testkit"
+)
+
+// patience ends a test that hangs; no verdict rests on it.
+const patience = 10 * time.Second
+
+// clock is one that a test sets.
+type clock struct {
+	mu    sync.Mutex
+	start string
+	at    float64
+}
+
+func (c *clock) clock() Clock {
+	return Clock{Start: c.start, Now: func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.at
+	}}
+}
+
+func (c *clock) pass(by float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at += by
+}
+
+// life is one life of a store.
+type oneLife struct {
+	*Store
+	end  context.CancelFunc
+	done chan error
+	log  *bytes.Buffer
+}
+
+// lines guards a log that is read while it is written.
+type lines struct {
+	mu sync.Mutex
+	b  *bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func options() Options {
+	o := Defaults()
+	o.Self, o.Folder, o.Window, o.Wait, o.Retry, o.File, o.Sync = "c0", "somewhere", 60, 5, 0.005, 0.002, 0.01
+	return o
+}
+
+func begin(t testing.TB, o Options, d *forgetful.Folder, c Clock) *oneLife {
+	t.Helper()
+	log := &bytes.Buffer{}
+	s, err := Open(o, d, c, zerolog.New(&lines{b: log}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	l := &oneLife{Store: s, end: end, done: make(chan error, 1), log: log}
+	go func() { l.done <- s.Run(ctx) }()
+	return l
+}
+
+func (l *oneLife) stop() {
+	l.end()
+	<-l.done
+}
+
+// until waits for a state.
+func until(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not in time: ", what)
+		}
+	}
+}
+
+// The machine crashes at an operation of the disk, for each of the first hundred in turn, while jobs are taken, sent and
+// answered; then their clients come again to another life. No run-once job has two effects, one that was answered done has
+// no further one, and all come to an end.
+func TestCrashUnderJobs(t *testing.T) {
+	for at := 1; at <= 100; at++ {
+		d := forgetful.New(uint64(at))
+		c := &clock{start: "one", at: 100}
+		effects, answered := map[string]int{}, map[string]past.Outcome{}
+		work := func(l *oneLife, life int, stop func() bool) {
+			for n := range 14 {
+				if stop() {
+					return
+				}
+				key := fmt.Sprint("k", n)
+				taken := l.Take(key, past.RunOnce, 60, false)
+				switch taken.Verdict {
+				case past.Answered, past.MayHaveRun:
+					if was := answered[key]; was == past.Done && taken.Final.Outcome == past.Failed {
+						t.Fatalf("crash at %d: %s was done and is now %v", at, key, taken.Final.Outcome)
+					}
+					continue
+				case past.Fresh:
+				default:
+					t.Fatalf("crash at %d, life %d: %s gets %d", at, life, key, taken.Verdict)
+				}
+				number, err := taken.Ticket.Sends("e1", 0, 0, patience)
+				if err != nil { // it never went
+					taken.Ticket.Answer(Final{})
+					continue
+				}
+				effects[key]++
+				if n%3 != 0 { // else its end is not heard
+					taken.Ticket.Ends(number, true)
+					taken.Ticket.Answer(Final{Outcome: past.Done, Rows: []byte(key), Whole: true})
+					answered[key] = past.Done
+				}
+				c.pass(0.01)
+			}
+		}
+		d.CrashAt = at
+		crashed := func() bool { _, err := d.List(); return errors.Is(err, forgetful.ErrCrashed) }
+		if s, err := Open(options(), d, c.clock(), zerolog.Nop()); err == nil {
+			ctx, end := context.WithCancel(context.Background())
+			l := &oneLife{Store: s, end: end, done: make(chan error, 1)}
+			go func() { l.done <- s.Run(ctx) }()
+			work(l, 1, crashed)
+			l.stop()
+		}
+		d.Crash()
+		d.Restart()
+		c.start = "two"
+		l := begin(t, options(), d, c.clock())
+		work(l, 2, func() bool { return false })
+		l.stop()
+		for key, n := range effects {
+			if n > 1 {
+				t.Fatalf("crash at %d: %s had %d effects", at, key, n)
+			}
+		}
+	}
+}
+
+// What the disk may do while jobs come: fail each way and come back, take long, stand still. Jobs that need no record go
+// on, those that need one are refused in bounded time, and all is there after the next crash.
+func TestDisks(t *testing.T) {
+	for _, fault := range []string{"full", "sync", "read only", "slow"} {
+		d, c := forgetful.New(1), &clock{start: "one", at: 100}
+		o := options()
+		o.Wait = 0.05
+		l := begin(t, o, d, c.clock())
+		send := func(key string, effect past.Effect) error {
+			taken := l.Take(key, effect, 60, false)
+			if taken.Ticket == nil {
+				t.Fatalf("%s: %s gets %d", fault, key, taken.Verdict)
+			}
+			number, err := taken.Ticket.Sends("e1", 0, 0, patience)
+			if err != nil {
+				taken.Ticket.Answer(Final{})
+				return err
+			}
+			taken.Ticket.Ends(number, true)
+			taken.Ticket.Answer(Final{Outcome: past.Done, Rows: []byte(key), Whole: true})
+			return nil
+		}
+		if err := send("before", past.RunOnce); err != nil {
+			t.Fatal(fault, err)
+		}
+		release := make(chan bool)
+		if fault == "slow" {
+			d.Set(func(d *forgetful.Folder) { d.Wait = func() { <-release } })
+		} else {
+			d.Set(func(d *forgetful.Folder) { d.Fail = fault })
+		}
+		began := time.Now()
+		if err := send("meanwhile", past.RunOnce); !errors.Is(err, ErrUnrecorded) {
+			t.Errorf("%s: a run-once job goes: %v", fault, err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("%s: refused after %v", fault, took)
+		}
+		for i := range 200 { // more than waits to be written at once
+			if err := send(fmt.Sprint("light", i), past.Restartable); err != nil {
+				t.Errorf("%s: a restartable job does not go: %v", fault, err)
+			}
+		}
+		d.Set(func(d *forgetful.Folder) { d.Fail, d.Wait = "", nil })
+		close(release)
+		until(t, fault+": records are taken again", func() bool { return send("again", past.RunOnce) == nil })
+		l.stop()
+		d.Crash()
+		d.Restart()
+		c.start = "two"
+		l = begin(t, options(), d, c.clock())
+		for _, key := range []string{"before", "again"} {
+			if taken := l.Take(key, past.RunOnce, 60, false); taken.Verdict != past.Answered || string(taken.Final.Rows) != key {
+				t.Errorf("%s: %s after the crash: %+v", fault, key, taken)
+			}
+		}
+		if taken := l.Take("meanwhile", past.RunOnce, 60, false); taken.Verdict != past.Fresh {
+			t.Errorf("%s: what never went is %d", fault, taken.Verdict)
+		}
+		l.stop()
+	}
+}
+
+// A job whose record can't be had goes all the same where the settings say so, with a word on it.
+func TestSentUnrecorded(t *testing.T) {
+	d, c := forgetful.New(1), &clock{start: "one", at: 100}
+	o := options()
+	o.Without = "send"
+	l := begin(t, o, d, c.clock())
+	d.Set(func(d *forgetful.Folder) { d.Fail = "sync" })
+	if _, err := l.Take("k", past.RunOnce, 60, false).Ticket.Sends("e1", 0, 0, patience); err != nil {
+		t.Error(err)
+	}
+	l.stop()
+	if !strings.Contains(l.log.String(), "without its record") {
+		t.Error(l.log.String())
+	}
+}
+
+// Two clients come with one key at once: the second has the first one's answer, or is put off.
+func TestTwoAtOnce(t *testing.T) {
+	for _, repeat := range []string{"join", "refuse"} {
+		d, c := forgetful.New(1), &clock{start: "one", at: 100}
+		o := options()
+		o.Repeat = repeat
+		l := begin(t, o, d, c.clock())
+		first, second := l.Take("k", past.RunOnce, 60, true), l.Take("k", past.RunOnce, 60, false)
+		if second.Verdict != past.Joined || (second.Joined != nil) != (repeat == "join") {
+			t.Errorf("%s: %+v", repeat, second)
+		}
+		number, err := first.Ticket.Sends("e1", 0, 0, patience)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first.Ticket.Ends(number, true)
+		first.Ticket.Answer(Final{Outcome: past.Done, Rows: []byte("rows"), Whole: true})
+		if repeat == "join" {
+			if f := <-second.Joined; f.Outcome != past.Done || string(f.Rows) != "rows" {
+				t.Errorf("%+v", f)
+			}
+		}
+		if l.Joins() != 0 {
+			t.Error("somebody is still waited for")
+		}
+		l.stop()
+	}
+}
+
+// What a life finds, as a trace: clocks, limits, what was learned, a copy of another's, damage.
+func TestLives(t *testing.T) {
+	var all []string
+	d, c := forgetful.New(1), &clock{start: "one", at: 1000}
+	say := func(what string, l *oneLife) {
+		found, machine := l.Found()
+		n, known := l.FurtherWithin(10)
+		text, age := l.Learned()
+		keys, _, gap := l.Keys()
+		all = append(all, fmt.Sprintf("%s: records %v, clean %v, damaged %d, machine started %v; %d keys, gap %.0f s; further %d, known %v; learned %q %.0f s ago; list %q",
+			what, found.Records > 0, found.Clean, len(found.Damaged), machine, keys, gap, n, known, text, age, l.List()))
+	}
+	l := begin(t, options(), d, c.clock())
+	say("new", l)
+	l.Further()
+	l.Further()
+	l.KeepList([]byte("a list"))
+	l.Learn = func() []byte { return []byte("figures") }
+	l.mu.Lock()
+	l.plan.Want(l.now(), learn)
+	l.mu.Unlock()
+	l.Take("k", past.RunOnce, 60, false).Ticket.Sends("e1", 0, 0, patience)
+	until(t, "it has learned", func() bool { text, _ := l.Learned(); return len(text) > 0 })
+	l.stop()
+	c.pass(5)
+	l = begin(t, options(), d, c.clock())
+	say("five seconds later", l)
+	c.pass(20)
+	n, _ := l.FurtherWithin(10)
+	all = append(all, fmt.Sprintf("twenty more: further %d", n))
+	// The clock goes back an hour over a start of the machine: for what is kept no time has passed.
+	l.stop()
+	c = &clock{start: "two", at: 10}
+	l = begin(t, options(), d, c.clock())
+	say("the machine was started, its clock begins anew", l)
+	c.pass(59)
+	all = append(all, fmt.Sprintf("59 s later the key is verdict %d", l.Take("k", past.RunOnce, 60, false).Verdict))
+	l.stop()
+	// Killed: nothing of its end is there.
+	l = begin(t, options(), d, c.clock())
+	l.Further()
+	until(t, "it is written", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return len(l.pending) == 0 })
+	d.Crash()
+	l.stop()
+	d.Resume()
+	l = begin(t, options(), d, c.clock())
+	say("killed", l)
+	l.stop()
+	names, _ := d.List()
+	for _, name := range names {
+		if strings.HasSuffix(name, ".log") {
+			d.Flip(name, d.Size(name)/2)
+		}
+	}
+	l = begin(t, options(), d, c.clock())
+	say("its file is damaged in the middle", l)
+	all = append(all, fmt.Sprintf("a key that is not known is verdict %d, on its client's word that it is the first %d", l.Take("x", past.RunOnce, 60, false).Verdict,
+		l.Take("x", past.RunOnce, 60, true).Verdict))
+	l.stop()
+	l = begin(t, options(), d, c.clock())
+	say("and the next life", l)
+	l.stop()
+	o := options()
+	o.Self = "c1"
+	_, err := Open(o, d, c.clock(), zerolog.Nop())
+	all = append(all, fmt.Sprint("opened by another controller: ", err))
+	for i, line := range all {
+		all[i] = strings.ReplaceAll(line, "0000000000000", "0")
+	}
+	testkit.Check(t, all)
+}
+
+// Files stay small while jobs come for long, and memory holds what the window does.
+func TestBounded(t *testing.T) {
+	d, c := forgetful.New(1), &clock{start: "one", at: 100}
+	o := options()
+	o.Window, o.File, o.Rate = 1, 0.05, 1000
+	l := begin(t, o, d, c.clock())
+	most := 0
+	for i := range 4000 {
+		taken := l.Take(fmt.Sprint("k", i), past.Effect(i%3), 60, false)
+		number, err := taken.Ticket.Sends("e1", 0, 0, patience)
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken.Ticket.Ends(number, true)
+		taken.Ticket.Answer(Final{Outcome: past.Done, Rows: []byte("rows"), Whole: true})
+		c.pass(0.01)
+		if i%100 == 0 {
+			size := 0
+			names, _ := d.List()
+			for _, name := range names {
+				if n := d.Size(name); n > 0 {
+					size += n
+				}
+			}
+			most = max(most, size)
+			if keys, bytes, _ := l.Keys(); keys > 250 || bytes > 200000 {
+				t.Fatalf("%d keys, %d bytes are kept", keys, bytes)
+			}
+		}
+	}
+	l.stop()
+	if most > 500_000 {
+		t.Errorf("%d bytes in files", most)
+	}
+	var entry map[string]any
+	for _, line := range strings.Split(strings.TrimSpace(l.log.String()), "\n") {
+		if line != "" && json.Unmarshal([]byte(line), &entry) != nil {
+			t.Errorf("log: %s", line)
+		}
+	}
+}
--- a/internal/lab/forgetful/forgetful.go
+++ b/internal/lab/forgetful/forgetful.go
@@ -43,6 +43,13 @@
 	return &Folder{files: map[string]*file{}, kept: map[string]*file{}, r: rand.New(rand.NewPCG(seed, 3))}
 }
 
+// Set changes faults while the folder is in use.
+func (d *Folder) Set(change func(d *Folder)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(d)
+}
+
 // Ops is how many operations there were.
 func (d *Folder) Ops() int {
 	d.mu.Lock()
@@ -100,6 +107,9 @@
 func (d *Folder) Size(name string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.files[name] == nil {
+		return 0
+	}
 	return len(d.files[name].text)
 }
 
