A hungry controller asks at half the time, and what was given up is settled at once

Change: a controller that wants more than it may use, or has been told of less and has not settled it, asks ten times a lease instead of five.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -347,7 +347,8 @@
 	}
 }
 
-// ask asks for parts, four times a lease, of whoever leads; at the end it gives all back.
+// ask asks for parts, five times a lease, and ten times while more is wanted than may be used, of whoever leads; at the end
+// it gives all back.
 func (f *Fleet) ask(ctx context.Context) error {
 	links := map[uint64]*link{}
 	defer func() {
@@ -358,7 +359,7 @@
 	answers := make(chan quorum.Answer, 16)
 	again := time.NewTimer(0)
 	defer again.Stop()
-	every := seconds(f.options.Lease / 5)
+	every, last := seconds(f.options.Lease/10), time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -366,11 +367,15 @@
 			return ctx.Err()
 		case a := <-answers:
 			if soon := f.hear(a); soon > 0 {
+				last = time.Time{}
 				again.Reset(soon)
 			}
 		case <-again.C:
 			again.Reset(every)
-			f.send(ctx, links, answers, f.next(false))
+			if now := time.Now(); f.hungry() || now.Sub(last) > 3*every/2 {
+				last = now
+				f.send(ctx, links, answers, f.next(false))
+			}
 		case a := <-f.acts.queue:
 			f.sendAct(ctx, links, answers, a)
 		case r := <-f.tells:
@@ -379,15 +384,10 @@
 	}
 }
 
-// next makes the next ask.
-func (f *Fleet) next(leaves bool) quorum.Ask {
+// uses takes what is used and wanted of all that is divided; the lock is held when it returns.
+func (f *Fleet) uses() map[string]Use {
 	uses := f.spender.Uses()
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock()
-	a := quorum.Ask{Holder: ledger.Holder{Name: f.options.Self, Inc: f.inc}, Generation: f.options.Generation, Digest: quorum.Digest(f.options.Quantities, f.options.Duties),
-		Quantities: f.options.Quantities, Duties: f.options.Duties, Jobs: f.options.Jobs, Leaves: leaves, Orders: f.orders, Lists: maps.Clone(f.lists)}
-	f.askDuties(&a)
 	more := map[string]Use{}
 	for _, u := range uses {
 		if h := f.holds[u.Name]; h != nil {
@@ -395,6 +395,24 @@
 			more[u.Name] = u
 		}
 	}
+	return more
+}
+
+// hungry tells whether the fleet should hear soon.
+func (f *Fleet) hungry() bool {
+	f.uses()
+	defer f.mu.Unlock()
+	return f.parts.Hungry(f.clock())
+}
+
+// next makes the next ask.
+func (f *Fleet) next(leaves bool) quorum.Ask {
+	more := f.uses()
+	defer f.mu.Unlock()
+	now := f.clock()
+	a := quorum.Ask{Holder: ledger.Holder{Name: f.options.Self, Inc: f.inc}, Generation: f.options.Generation, Digest: quorum.Digest(f.options.Quantities, f.options.Duties),
+		Quantities: f.options.Quantities, Duties: f.options.Duties, Jobs: f.options.Jobs, Leaves: leaves, Orders: f.orders, Lists: maps.Clone(f.lists)}
+	f.askDuties(&a)
 	var reports []part.Report
 	a.Number, reports = f.parts.Ask(now)
 	for _, r := range reports {
--- a/internal/fleet/part/part.go
+++ b/internal/fleet/part/part.go
@@ -68,6 +68,16 @@
 // Forget lets a quantity go.
 func (p *Parts) Forget(name string) { delete(p.holds, name) }
 
+// Hungry tells whether the fleet should hear soon: more is wanted than may be used, or what was given up is to be settled.
+func (p *Parts) Hungry(now float64) bool {
+	for _, h := range p.holds {
+		if h.wanted > p.Limit(now, h)+1e-9 || h.number > h.settled {
+			return true
+		}
+	}
+	return false
+}
+
 // Report is what the fleet is told of one holding with an ask.
 type Report struct {
 	Name         string
--- a/internal/fleet/quorum/sim_test.go
+++ b/internal/fleet/quorum/sim_test.go
@@ -338,13 +338,16 @@
 	if s.defect != "same incarnation" || h.inc == 0 {
 		h.inc++
 	}
+	asked := false
 	var ask, work func()
 	ask = func() {
 		if h.life != life || h.dead {
 			return
 		}
-		s.at2(h, func() { s.ask(h) })
-		s.after(0.25*(0.9+0.2*s.r.Float64()), ask)
+		if asked = !asked; asked || h.parts.Hungry(s.now(h)) {
+			s.at2(h, func() { s.ask(h) })
+		}
+		s.after(0.1*(0.9+0.2*s.r.Float64()), ask)
 	}
 	work = func() {
 		if h.life != life || h.dead {
