--- a/internal/fleet/part/part.go
+++ b/internal/fleet/part/part.go
@@ -32,6 +32,7 @@
 	settled uint64 // the number that the fleet was told is kept
 	used    float64
 	wanted  float64
+	open    int     // of a held one: spent and not given back
 	spent   []spend // of a paced one, within the window
 }
 
@@ -195,7 +196,7 @@
 		return false
 	}
 	h.used += amount
-	if h.paced {
+	if h.open++; h.paced {
 		h.spent = append(h.spent, spend{now, amount})
 	}
 	return true
@@ -203,8 +204,12 @@
 
 // Back gives back what was spent of a held quantity.
 func (h *Holding) Back(amount float64) {
-	if !h.paced {
-		h.used = max(h.used-amount, 0)
+	if h.paced {
+		return
+	}
+	h.used = max(h.used-amount, 0)
+	if h.open = max(h.open-1, 0); h.open == 0 { // rounding leaves traces
+		h.used = 0
 	}
 }
 
