--- a/internal/fleet/part/part.go
+++ b/internal/fleet/part/part.go
@@ -32,7 +32,6 @@
 	settled uint64 // the number that the fleet was told is kept
 	used    float64
 	wanted  float64
-	open    int     // of a held one: spent and not given back
 	spent   []spend // of a paced one, within the window
 }
 
@@ -196,7 +195,7 @@
 		return false
 	}
 	h.used += amount
-	if h.open++; h.paced {
+	if h.paced {
 		h.spent = append(h.spent, spend{now, amount})
 	}
 	return true
@@ -207,8 +206,7 @@
 	if h.paced {
 		return
 	}
-	h.used = max(h.used-amount, 0)
-	if h.open = max(h.open-1, 0); h.open == 0 { // rounding leaves traces
+	if h.used -= amount; h.used < 1e-9*max(amount, 1) { // rounding leaves traces
 		h.used = 0
 	}
 }
