Further dispatches are kept before they go: the budget holds over windows that span a kill

Need: each life of a controller had its budget of further dispatches anew; fourteen kills in six seconds allowed fourteen budgets. A voter counts how often it waits for its disk.

--- a/cmd/copperrock/duties_test.go
+++ b/cmd/copperrock/duties_test.go
@@ -513,12 +513,18 @@
 	joined := b.wait("all have parts", some(b.names))
 	b.wait("every slice has an owner", b.ownedBy(b.names...))
 	from := now()
+	used := func() (cpu float64) {
+		for _, name := range b.names[:3] {
+			cpu += cpuOf(b.Process(name).PID())
+		}
+		return cpu
+	}
+	begun, began := used(), func() uint64 { v, _ := b.view(); return v.Syncs }()
 	time.Sleep(5 * time.Second)
 	rate, gap := probes.between(from, now())
-	cpu := 0.0
-	for _, name := range b.names[:3] {
-		cpu += cpuOf(b.Process(name).PID())
-	}
+	cpu := used() - begun
+	v, _ := b.view()
+	t.Logf("at rest: the leader waits for its disk %.1f times a second; the three voters use %.3f of a core", float64(v.Syncs-began)/5, cpu/5)
 	killed := b.names[count-count*3/10:]
 	for _, name := range killed {
 		b.Process(name).Kill()
--- a/cmd/copperrock/spread_test.go
+++ b/cmd/copperrock/spread_test.go
@@ -282,13 +282,16 @@
 		talks   bool
 	}{{"100x30-asks", 100, 30, 0.7, 0.3, 0.02, false}, {"100x30-full-asks", 100, 30, 0.9, 0.3, 0.02, false}, {"300x60-asks", 300, 60, 0.7, 0.3, 0.02, false}, {"300x60-full-asks", 300, 60, 0.9, 0.3, 0.02, false},
 		{"300x10-short-asks", 300, 10, 0.7, 0.06, 0.02, false}, {"100x30-talks", 100, 30, 0.7, 0.3, 0.3, true},
-		{"100x30-spare", 100, 30, 0.7, 0.3, 0.02, false}, {"300x60-spare", 300, 60, 0.7, 0.3, 0.02, false}, {"300x10-short-spare", 300, 10, 0.7, 0.06, 0.02, false}} {
+		{"100x30-fleet", 100, 30, 0.7, 0.3, 0.02, false}, {"100x30-spare", 100, 30, 0.7, 0.3, 0.02, false}, {"300x60-spare", 300, 60, 0.7, 0.3, 0.02, false}, {"300x10-short-spare", 300, 10, 0.7, 0.06, 0.02, false}} {
 		d := spreadDay{name: one.name, controllers: one.n, engines: one.m, work: one.work, load: one.load, report: allTold, askFrom: one.askFrom}
 		if strings.HasSuffix(one.name, "-spare") {
 			d.spare = 20
 		}
-		if one.talks {
-			d.talk(t)
+		switch {
+		case one.talks:
+			d.talk(t, `, "duties": {"probe": 0.1}`)
+		case strings.HasSuffix(one.name, "-fleet"): // parts alone: what it costs a job
+			d.talk(t, "")
 		}
 		days = append(days, d)
 	}
@@ -302,14 +305,14 @@
 }
 
 // talk has the controllers be a fleet that divides the engines and shares readings: what talk is worth to placement.
-func (d *spreadDay) talk(t *testing.T) {
+func (d *spreadDay) talk(t *testing.T, duties string) {
 	var voters []string
 	for i := range 3 {
 		voters = append(voters, fmt.Sprintf(`{"name": "c%03d", "address": %q}`, i, free(t)))
 	}
 	folder := t.TempDir()
 	d.extra = func(i int) string {
-		return fmt.Sprintf(`, "fleet": {"voters": [%s], "folder": %q, "lease": 2, "beat": 0.05, "controllers": %d}, "duties": {"probe": 0.1}`, strings.Join(voters, ", "), folder, d.controllers)
+		return fmt.Sprintf(`, "fleet": {"voters": [%s], "folder": %q, "lease": 2, "beat": 0.05, "controllers": %d}%s`, strings.Join(voters, ", "), folder, d.controllers, duties)
 	}
 	d.before = func(c *crowd) {
 		for i := range 3 {
--- a/cmd/copperrock/store_test.go
+++ b/cmd/copperrock/store_test.go
@@ -247,6 +247,45 @@
 	}
 }
 
+// Three further dispatches may go in any two seconds, over kills too: without what is kept of a life before each would have
+// three of its own.
+func TestFurtherOverKills(t *testing.T) {
+	const free, window = 3, 2.0
+	r := &storeRig{folder: t.TempDir(), works: map[string]*pieceOfWork{}}
+	var mu sync.Mutex
+	seen, further := map[string]int{}, []float64{}
+	r.crowd = newCrowd(t, 3, 1, func(i int, e *standin.Engine) {
+		e.Faults, e.Tell = map[standin.Fault]float64{standin.Fail: 0.5}, func(s standin.Seen) {
+			mu.Lock()
+			defer mu.Unlock()
+			if s.Do == "asked" {
+				if seen[s.Ref]++; seen[s.Ref] > 1 {
+					further = append(further, s.At)
+				}
+			}
+		}
+	})
+	settings := strings.NewReplacer("KEYED", "2", "FOLDER", r.folder, " MORE", "", `"rules": {`, fmt.Sprintf(`"rules": {"further_free": %d, "further_share": 0, "further_window": %g, `, free, window)).Replace(storeSettings)
+	r.controller("c0", settings)
+	if err := r.Start("c0"); err != nil {
+		t.Fatal(err)
+	}
+	r.up()
+	r.crashes(&silent{TB: t}, 14, 3, 8)
+	mu.Lock()
+	defer mu.Unlock()
+	slices.Sort(further)
+	for i := range further {
+		if i >= free && further[i]-further[i-free] < window-0.1 { // the way to the engines
+			t.Fatalf("%d further dispatches in %.3f s: %.3f", free+1, further[i]-further[i-free], further[i-free:i+1])
+		}
+	}
+	if len(further) < free {
+		t.Errorf("only %d further dispatches went", len(further))
+	}
+	t.Logf("%d further dispatches over 14 kills in %.1f s", len(further), further[len(further)-1]-further[0])
+}
+
 // silent is a test whose errors are looked for.
 type silent struct{ testing.TB }
 
--- a/internal/fleet/voter.go
+++ b/internal/fleet/voter.go
@@ -247,7 +247,7 @@
 
 func (v *voter) view() (view View) {
 	l := v.core.Ledger()
-	view = View{Voter: v.options.voter(), Leader: v.core.Leader(), Term: v.core.Term(), Leads: v.core.Leads(), Generation: l.Generation}
+	view = View{Voter: v.options.voter(), Leader: v.core.Leader(), Term: v.core.Term(), Leads: v.core.Leads(), Generation: l.Generation, Syncs: v.file.Syncs()}
 	for _, c := range l.Sorted() {
 		view.Controllers = append(view.Controllers, ViewController{c.Name, c.Inc, c.Index, c.Replaced, v.core.TookUp(c.Holder)})
 	}
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -55,6 +55,7 @@
 type View struct {
 	Voter, Leader, Term uint64
 	Leads               bool
+	Syncs               uint64 // of its disk, since its start
 	Generation          uint64
 	Failed              string
 	Controllers         []ViewController
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"copperrock.example/copperrock/internal/client"
 	"copperrock.example/copperrock/internal/engine"
 	"copperrock.example/copperrock/internal/engine/spare"
+	"copperrock.example/copperrock/internal/keep/store"
 	"copperrock.example/copperrock/internal/members"
 	"copperrock.example/copperrock/internal/statement"
 	"copperrock.example/copperrock/internal/teams"
@@ -98,6 +99,7 @@
 	do     decision
 	number int // of the dispatch
 	place
+	written  <-chan error // the record of a further one, nil where there is none
 	grant    float64
 	priority int
 	comeBack float64
@@ -360,6 +362,9 @@
 				if still {
 					fence, still = g.fence(to)
 				}
+				if still && s.written != nil {
+					store.Written(s.written)
+				}
 				if still && kept != nil {
 					if err := kept.sends(s.name, s.zone, s.cell, until); err != nil {
 						still = false
@@ -610,10 +615,11 @@
 	if e != nil && e.process != nil {
 		at = place{e.last.Name, index(g.settings.Zones, e.last.Zone), e.last.Cell, e.process}
 	}
-	g.step(id, step{do: dispatch, number: j.sent, place: at, grant: j.grant, priority: j.priority})
+	s := step{do: dispatch, number: j.sent, place: at, grant: j.grant, priority: j.priority}
 	if j.sent > 0 && g.keeps != nil && g.keeps.store != nil {
-		g.keeps.store.Further()
+		s.written = g.keeps.store.Further()
 	}
+	g.step(id, s)
 	j.sent++
 	j.out++
 	if g.stage != nil {
--- a/internal/keep/store/store.go
+++ b/internal/keep/store/store.go
@@ -371,14 +371,8 @@
 	t.over = true
 	defer func() {
 		s.mu.Unlock()
-		if written == nil {
-			return
-		}
-		late := time.NewTimer(answerWait)
-		defer late.Stop()
-		select {
-		case <-written:
-		case <-late.C:
+		if written != nil {
+			Written(written)
 		}
 	}()
 	s.past.Answer(s.now(), t.entry, f.Outcome, f.Rows, f.Whole)
@@ -406,8 +400,10 @@
 
 // ---- limits and what was learned
 
-// Further tells that a further dispatch has gone.
-func (s *Store) Further() {
+// Further tells that a further dispatch is about to go. What it gives hears once that is written; a dispatch that waits for
+// it counts against its window also where the process is killed a moment later.
+func (s *Store) Further() <-chan error {
+	written := make(chan error, 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -415,7 +411,18 @@
 		s.further = s.further[1:]
 	}
 	s.further = append(s.further, now)
-	s.put(journal.Record(nil, furtherKind, binary.BigEndian.AppendUint64(nil, math.Float64bits(now))), nil)
+	s.add(journal.Record(nil, furtherKind, binary.BigEndian.AppendUint64(nil, math.Float64bits(now))), waiter{written, false})
+	return written
+}
+
+// Written waits for that, as long as an answer would.
+func Written(written <-chan error) {
+	late := time.NewTimer(answerWait)
+	defer late.Stop()
+	select {
+	case <-written:
+	case <-late.C:
+	}
 }
 
 // FurtherWithin is how many further dispatches lives before sent in the last seconds. Where the last one did not end in
--- a/internal/keep/votes/votes.go
+++ b/internal/keep/votes/votes.go
@@ -97,6 +97,7 @@
 	boot  uint64
 	met   map[uint64]Start
 	joins bool
+	syncs uint64
 	Cut   int64 // bytes of a torn record that were cut off at the opening
 }
 
@@ -387,11 +388,15 @@
 	n, err := f.file.Write(text)
 	f.size += int64(n)
 	if err == nil && out.Synced {
+		f.syncs++
 		err = f.file.Sync()
 	}
 	return err
 }
 
+// Syncs is how many times this start of the voter has waited for the disk.
+func (f *File) Syncs() uint64 { return f.syncs }
+
 // Grown tells whether the file is worth writing anew.
 func (f *File) Grown() bool { return f.size > grown }
 
