--- a/cmd/copperrock/store.go
+++ b/cmd/copperrock/store.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"path/filepath"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -28,6 +29,9 @@
 	if opts.On() && s.Fields.Retry == "" {
 		o.Fault("folder", "requests.retry names no field: no job has a key")
 	}
+	if opts.On() && s.Engines.File != "" && s.Engines.Copy == "" { // the last good list stands beside the store's files
+		s.Engines.Copy = filepath.Join(opts.Folder, "engines.jsonc")
+	}
 	return opts
 }}
 
--- a/cmd/copperrock/store_test.go
+++ b/cmd/copperrock/store_test.go
@@ -201,6 +201,9 @@
 	fmt.Sscan(os.Getenv("SEED"), &seed)
 	r := newStoreRig(t, seed, `, "file_mb": 0.02`, map[standin.Fault]float64{standin.Reset: 0.03, standin.Fail: 0.03, standin.Full: 0.03})
 	r.crashes(t, kills, seed, 8)
+	if names, _ := os.ReadDir(r.folder); !slices.ContainsFunc(names, func(n os.DirEntry) bool { return n.Name() == "engines.jsonc" }) {
+		t.Error("the list of engines is not kept in the store's folder")
+	}
 	// What is left ends in order, and can be read.
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -70,3 +70,47 @@
 		g.Members(members.Drained, all)
 	}
 }
+
+// asker is a client's job under a key, that hears its answer.
+type asker struct {
+	key, word string
+}
+
+func (a *asker) Repeats() (string, bool)  { return a.key, false }
+func (a *asker) Waits(_, _, _, _ float64) {}
+func (a *asker) Done(rows *buffer.Chain)  { a.word = "done " + string(rows.Bytes()); rows.Free() }
+func (a *asker) Throttled(float64)        { a.word = "throttled" }
+func (a *asker) Failed(why string)        { a.word = why }
+
+// A controller whose store is still opening is not ready, and throttles jobs under a key at once; one that needs a store and
+// has none takes nothing; one that does not goes on.
+func TestStoreOpens(t *testing.T) {
+	for _, needed := range []bool{true, false} {
+		g := idle(t)
+		g.WithStore(needed, 600)
+		g.Members(members.Drained, many(2))
+		g.SetReady(true)
+		ask := func(key string) string {
+			a := &asker{key: key}
+			text := g.pool.NewChain()
+			defer text.Free()
+			if _, over := g.lookUp(context.Background(), a, 0, 1); !over {
+				return "taken"
+			}
+			return a.word
+		}
+		if g.Ready() || ask("k") != "throttled" {
+			t.Errorf("needed %v, while it opens: ready %v, %s", needed, g.Ready(), ask("k"))
+		}
+		if got := ask(""); (got == "taken") == needed {
+			t.Errorf("needed %v, a job without a key while it opens: %s", needed, got)
+		}
+		g.Opened(nil)
+		if g.Ready() == needed {
+			t.Errorf("needed %v, without a store: ready %v", needed, g.Ready())
+		}
+		if got := ask("k"); (got == "taken") == needed {
+			t.Errorf("needed %v, without a store: %s", needed, got)
+		}
+	}
+}
--- a/internal/keep/store/store.go
+++ b/internal/keep/store/store.go
@@ -53,7 +53,6 @@
 	lifeKind    = past.LastKind + 3 + iota // a life begins: the machine's start, its clock, the store's
 	furtherKind                            // a further dispatch went: when
 	learnedKind                            // what was learned: when, and its bytes
-	listKind                               // the last good list of engines
 )
 
 // Store is an open store.
@@ -74,7 +73,6 @@
 	behind  bool // records were dropped: all has to be written anew
 	joined  map[*past.Entry][]chan Final
 	learned []byte
-	list    []byte
 	down    bool
 	slow    time.Time // when a commit last took long
 
@@ -211,8 +209,6 @@
 		}
 	case kind == learnedKind && len(body) >= 8:
 		s.learned = append([]byte(nil), body...)
-	case kind == listKind:
-		s.list = append([]byte(nil), body...)
 	default:
 		return fmt.Errorf("a record of kind %d that can't be read", kind)
 	}
@@ -448,21 +444,6 @@
 	return s.learned[8:], max(s.now()-math.Float64frombits(binary.BigEndian.Uint64(s.learned)), 0)
 }
 
-// List is the last good list of engines, nil for none.
-func (s *Store) List() []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.list
-}
-
-// KeepList keeps a good list of engines.
-func (s *Store) KeepList(text []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.list = text
-	s.put(journal.Record(nil, listKind, text), nil)
-}
-
 // ---- the disk
 
 // The kinds of background work.
@@ -620,9 +601,6 @@
 		if len(s.learned) > 0 {
 			head = journal.Record(head, learnedKind, s.learned)
 		}
-		if len(s.list) > 0 {
-			head = journal.Record(head, listKind, s.list)
-		}
 		if mending { // from here on records go to the new file
 			s.behind, s.pending = false, nil
 			s.down = false
