Engines that several controllers read need fewer probes on the fleet's behalf

Change: each ask names the engines that its controller's jobs have had asked of late; the leader counts them and tells owners of probing those that three or more have read, which they ask at one tick in four.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -52,7 +52,8 @@
 	table   *timetable
 
 	mu     sync.Mutex
-	fences map[int]uint64 // the highest under which readings of a slice came
+	fences map[int]uint64  // the highest under which readings of a slice came
+	known  map[uint32]bool // engines that several controllers have read of late; swapped whole
 }
 
 // New makes them. list may be nil.
@@ -133,6 +134,40 @@
 	}
 }
 
+// Reads are the engines that this controller's own jobs have had asked of late.
+func (d *Duties) Reads() (engines []uint32) {
+	if d.options.Probe == 0 {
+		return nil
+	}
+	for _, name := range d.gateway.Listed() {
+		if _, age, told := d.gateway.Lately(name); told && age < 2*d.options.Probe {
+			engines = append(engines, duties.Mark(name))
+		}
+	}
+	return engines
+}
+
+// Known takes the engines that several controllers have read of late: they know of those by themselves.
+func (d *Duties) Known(engines []uint32) {
+	known := make(map[uint32]bool, len(engines))
+	for _, e := range engines {
+		known[e] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known = known
+}
+
+// seldom is how many times longer an engine that several controllers read goes without a probe on the fleet's behalf.
+const seldom = 4
+
+// due tells whether an engine is to be asked at the so manieth tick.
+func (d *Duties) due(name string, tick int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return tick%seldom == 0 || !d.known[duties.Mark(name)]
+}
+
 // probe asks the engines in this controller's slices for their load, each once in a while and never twice at once, and
 // tells all. One that the controller's own jobs have had asked since is not asked again.
 func (d *Duties) probe(ctx context.Context) error {
@@ -142,6 +177,7 @@
 	var mu sync.Mutex
 	asked := map[string]bool{} // and not answered; forgotten with the answer, which comes or is given up
 	var taken []fleet.Reading
+	ticks := 0
 	send := time.NewTicker(max(every/2, 20*time.Millisecond)) // what came together goes together
 	defer send.Stop()
 	for {
@@ -157,7 +193,11 @@
 				d.fleet.Tell(some)
 			}
 		case <-tick.C:
+			ticks++
 			for _, name := range d.gateway.Listed() {
+				if !d.due(name, ticks) {
+					continue
+				}
 				slot := duties.Slot{Duty: duties.Probing, At: duties.Slice(name, duties.Slices[duties.Probing])}
 				mu.Lock()
 				waits := asked[name]
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -191,6 +191,27 @@
 	}
 }
 
+// An engine that several controllers read is asked at one tick in four; the word of it is swapped whole.
+func TestKnown(t *testing.T) {
+	d := New(&Options{Probe: 0.1}, &scripted{}, &scripted{}, nil, zerolog.Nop())
+	asked := func(name string) (n int) {
+		for tick := range 100 {
+			if d.due(name, tick) {
+				n++
+			}
+		}
+		return n
+	}
+	d.Known([]uint32{duties.Mark("busy")})
+	if asked("busy") != 25 || asked("quiet") != 100 {
+		t.Errorf("asked %d and %d times", asked("busy"), asked("quiet"))
+	}
+	d.Known(nil)
+	if asked("busy") != 100 {
+		t.Errorf("asked %d times once nobody reads it", asked("busy"))
+	}
+}
+
 // The list: own reading at the start, the published one once there is one, not one under an earlier fence nor a broken one,
 // own reading again while the fleet is not heard.
 func TestListing(t *testing.T) {
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -21,6 +21,8 @@
 	Ordered(order ledger.Order)                             // by an operator
 	Listed(name string, fence, version uint64, data []byte) // a list that its owner published
 	Read(readings []Reading)                                // of engines, taken elsewhere
+	Reads() []uint32                                        // engines that this controller's own jobs have had asked of late
+	Known(engines []uint32)                                 // those that several controllers have
 }
 
 // Reading is what the owner of an engine's slice read of its load.
@@ -58,6 +60,7 @@
 	if a.Room = f.doer.Room(); a.Leaves {
 		a.Room = 0
 	}
+	a.Read = f.doer.Reads()
 	for _, g := range f.own.Back() {
 		a.Back = append(a.Back, quorum.Slice{Duty: g.Duty, At: g.At, Fence: g.Fence})
 	}
@@ -75,6 +78,7 @@
 		return
 	}
 	f.doer.Jobs(a.Jobs)
+	f.doer.Known(a.Known)
 	for _, o := range a.Orders {
 		f.doer.Ordered(o)
 		f.mu.Lock()
--- a/internal/fleet/duties/choose.go
+++ b/internal/fleet/duties/choose.go
@@ -102,6 +102,14 @@
 	return int(mix(h.Sum64()) % uint64(max(slices, 1)))
 }
 
+// Mark is an engine as controllers tell each other of it, by its name; two that have one mark are probed a little too
+// seldom.
+func Mark(engine string) uint32 {
+	h := fnv.New64a()
+	h.Write([]byte(engine))
+	return uint32(mix(h.Sum64()) >> 32)
+}
+
 // The duties there are, and into how many slices each is cut. The number is the program's: what is in which slice may not
 // move while owners live.
 const (
--- a/internal/fleet/quorum/duties.go
+++ b/internal/fleet/quorum/duties.go
@@ -59,6 +59,8 @@
 	told    map[ledger.Holder]toldDuties
 	strip   map[ledger.Holder][]Slice // that are being taken from it: its lease may not be renewed meanwhile
 	first   map[string]float64        // when this leader first saw a duty
+	read    map[ledger.Holder][]uint32
+	readers map[uint32]int // controllers that have read an engine of late; none that is 0 is kept
 	looked  float64
 }
 
@@ -71,6 +73,31 @@
 func (d *dutyState) init(life uint64) {
 	d.refs = life << 32 // an entry of an earlier life of this voter names none that waits now
 	d.waiting, d.told, d.strip, d.first = map[uint64]Act{}, map[ledger.Holder]toldDuties{}, map[ledger.Holder][]Slice{}, map[string]float64{}
+	d.read, d.readers = map[ledger.Holder][]uint32{}, map[uint32]int{}
+}
+
+// Engines that a controller may name as read, and how many have to for one that owners need to probe seldom.
+const (
+	mostRead = 256
+	several  = 3
+)
+
+// reads takes what a controller has read of late, in place of what it had before.
+func (d *dutyState) reads(h ledger.Holder, engines []uint32) {
+	for _, e := range d.read[h] {
+		if d.readers[e]--; d.readers[e] <= 0 {
+			delete(d.readers, e)
+		}
+	}
+	if len(engines) == 0 {
+		delete(d.read, h)
+		return
+	}
+	engines = engines[:min(len(engines), mostRead)]
+	d.read[h] = engines
+	for _, e := range engines {
+		d.readers[e]++
+	}
 }
 
 // begin is for a leader that has just begun, or has stood still: it knows nothing of those who ask. What leaders before
@@ -79,6 +106,8 @@
 	clear(d.told)
 	clear(d.strip)
 	clear(d.first)
+	clear(d.read)
+	clear(d.readers)
 	for duty := range there {
 		d.first[duty] = before
 	}
@@ -89,6 +118,7 @@
 func (d *dutyState) forget(h ledger.Holder) {
 	delete(d.told, h)
 	delete(d.strip, h)
+	d.reads(h, nil)
 }
 
 // acts that may wait at once; more are told to ask again.
@@ -160,6 +190,7 @@
 // duties takes what an ask says of duties.
 func (c *Core) duties(a Ask) {
 	c.duty.told[a.Holder] = toldDuties{a.Room, a.Orders}
+	c.duty.reads(a.Holder, a.Read)
 	for _, s := range a.Back {
 		if held := c.ledger.Slices[s.Duty]; s.At >= 0 && s.At < len(held) && held[s.At].Owner == a.Holder && held[s.At].Fence == s.Fence {
 			c.do(ledger.Command{Op: ledger.Release, Holder: a.Holder, What: s.Duty, At: s.At, Number: s.Fence})
@@ -254,12 +285,20 @@
 
 // tellDuties adds to an answer what its asker owns and what is new to it.
 func (c *Core) tellDuties(a Ask, answer *Answer) {
-	mine := map[int]bool{}
+	mine, probes := map[int]bool{}, false
 	for _, duty := range slices.Sorted(maps.Keys(c.ledger.Slices)) {
 		for i, s := range c.ledger.Slices[duty] {
 			if s.Owner == a.Holder {
 				answer.Slices = append(answer.Slices, Slice{duty, i, s.Fence, s.Recall})
 				mine[i] = mine[i] || duty == duties.Jobs
+				probes = probes || duty == duties.Probing
+			}
+		}
+	}
+	if probes {
+		for _, e := range slices.Sorted(maps.Keys(c.duty.readers)) {
+			if c.duty.readers[e] >= several {
+				answer.Known = append(answer.Known, e)
 			}
 		}
 	}
--- a/internal/fleet/quorum/duties_test.go
+++ b/internal/fleet/quorum/duties_test.go
@@ -472,6 +472,30 @@
 	return !slices.Contains(slices.Collect(maps.Values(s.cut)), true)
 }
 
+// Engines that three controllers have read of late are told to the owners of probing; what a controller told goes with its
+// next word, and with it.
+func TestReaders(t *testing.T) {
+	var d dutyState
+	d.init(1)
+	a, b, c := ledger.Holder{Name: "a", Inc: 1}, ledger.Holder{Name: "b", Inc: 1}, ledger.Holder{Name: "c", Inc: 1}
+	d.reads(a, []uint32{1, 2})
+	d.reads(b, []uint32{1})
+	d.reads(c, []uint32{1, 3})
+	if d.readers[1] != 3 || d.readers[2] != 1 {
+		t.Errorf("%v", d.readers)
+	}
+	d.reads(b, []uint32{2})
+	if d.readers[1] != 2 || d.readers[2] != 2 {
+		t.Errorf("%v", d.readers)
+	}
+	for _, h := range []ledger.Holder{a, b, c} {
+		d.forget(h)
+	}
+	if len(d.readers)+len(d.read) != 0 {
+		t.Errorf("kept: %v, %v", d.readers, d.read)
+	}
+}
+
 // Three hundred controllers and a thousand slices, while a tenth of the controllers are killed and started again each
 // second: no slice has two owners at any look (D1), most have one all the time, and all do soon after (D4).
 func TestThousandSlices(t *testing.T) {
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -76,6 +76,7 @@
 	Back   []Slice           // slices given back
 	Orders uint64            // the latest order that it has taken up
 	Lists  map[string]uint64 // versions of published lists that it has
+	Read   []uint32          // engines whose load its own jobs have had asked of late, by duties.Mark
 }
 
 // Word is what an answer says.
@@ -108,6 +109,7 @@
 	Jobs   []JobView // of the slices of scheduled jobs
 	Orders []ledger.Order
 	Lists  []List
+	Known  []uint32 // to owners of probing: engines that several controllers have read of late
 }
 
 // Output is what a step leads to. State, Entries and Snapshot are to be on disk before the rest is done.
