--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -136,7 +136,7 @@
 
 // Reads are the engines that this controller's own jobs have had asked of late.
 func (d *Duties) Reads() (engines []uint32) {
-	if d.options.Probe == 0 {
+	if d.options.Probe == 0 || !d.options.Sparing {
 		return nil
 	}
 	for _, name := range d.gateway.Listed() {
--- a/internal/duty/options.go
+++ b/internal/duty/options.go
@@ -16,6 +16,7 @@
 // Options are the operator's settings of what a fleet does as one. Times are seconds.
 type Options struct {
 	Probe    float64 // between questions to an engine, 0 for none on the fleet's behalf
+	Sparing  bool    // engines that several controllers read are probed seldom
 	List     bool    // one controller reads the list of engines for all
 	Fallback float64 // after so long without the fleet each takes its own reading
 	Fence    bool    // engines take a fence with a dispatch
@@ -46,6 +47,7 @@
 		o.Number(to, name, text, schema.Default(fallback), schema.Between(low, high), schema.Unit("s"))
 	}
 	seconds(o, &d.Probe, "probe", "between questions to an engine for its load, by one controller for all; 0 for none", 0, 0, 60)
+	o.Bool(&d.Sparing, "sparing", "engines that three controllers or more have asked for their own jobs are probed a quarter as often: fewer questions, older readings for the others", schema.Default(false))
 	o.Bool(&d.List, "list", "one controller reads the file of engines for all; the others fall back to their own reading", schema.Default(false))
 	seconds(o, &d.Fallback, "fallback", "without a word from the fleet, after which a controller takes its own reading of the list", 10, 0.1, 86400)
 	o.Bool(&d.Fence, "fence", "engines take a field fence with a dispatch, JOB:NUMBER, and refuse one lower than they have seen of that job", schema.Default(false))
