--- a/internal/fleet/quorum/quorum_test.go
+++ b/internal/fleet/quorum/quorum_test.go
@@ -79,15 +79,24 @@
 	}
 }
 
-// cutOff cuts a controller off and joins it again, and tells what breaks B4: it spends its part up to its lease's end, its
-// floor after, and has a part again without a new life.
-func cutOff(defect string) string {
+// wanting is a fleet without trouble of which each wants more than it has, once it is divided; nil where it never is.
+func wanting(defect string) *sim {
 	s := newSim(9, 3, 4, defect)
 	s.dup, s.calm = 0, true
 	for _, h := range s.holders {
 		h.wants = 1
 	}
 	if divided(s, 0.85, 5) < 0 {
+		return nil
+	}
+	return s
+}
+
+// cutOff cuts a controller off and joins it again, and tells what breaks B4: it spends its part up to its lease's end, its
+// floor after, and has a part again without a new life.
+func cutOff(defect string) string {
+	s := wanting(defect)
+	if s == nil {
 		return "not divided"
 	}
 	s.run(s.at + 3)
@@ -113,12 +122,8 @@
 // secondLife kills a controller and starts it at once, and tells what breaks B5: it has nothing, its floor included, until
 // what the first life began is surely over.
 func secondLife(defect string) string {
-	s := newSim(9, 3, 4, defect)
-	s.dup, s.calm = 0, true
-	for _, h := range s.holders {
-		h.wants = 1
-	}
-	if divided(s, 0.85, 5) < 0 {
+	s := wanting(defect)
+	if s == nil {
 		return "not divided"
 	}
 	h := s.holders[0]
