A client is followed to its end; no close takes away an answer or hides a withdrawal

Seen by reading client.go line by line for two events that cross, each then forced by a test over loopback sockets that failed before: - after the server's Leave, or after a message that can't be followed and 256 KB more, bytes were thrown away unread: a client that stopped waiting or left then was not heard, and its held job could be sent on. Lines: serve's CopyN, leave's deadline in the past. - a request that came after Leave on a connection with open jobs was dropped without an answer. It is throttled at once now. - room() closed a connection that it had found idle a moment before; a job read in between was dispatched and its answer lost. It is claimed under its lock now, and takes nothing from then on. - put() cut a client off whose many commands came in one read, before the writer had run once (128 answers). The reader waits for the writer now. - the last close came over unread bytes, whose reset took away answers that the client had not read. Half-close, then up to 0.5 s for the client to close. - a job that its client stopped waiting for counted as open until its engine had heard of it; held before too, the test guards it. Ruled out: the read deadline of a resting connection (one goroutine reads and closes); a second job under an id (answered, then ended).

--- a/internal/base/limits/limits.go
+++ b/internal/base/limits/limits.go
@@ -40,20 +40,22 @@
 	Need        float64 // MB
 
 	// Times.
-	Margin      float64 // before a job's time is up, for the way back and for pauses
-	MarginShare float64 // of the job's time, the most that the margin takes
-	Still       float64 // behind its time, a wake-up is worth a log line
-	ClientWrite float64 // for a client to take what is written
-	ClientRead  float64 // for the rest of a message begun
-	ClientFirst float64 // for the first message to begin
-	ClientIdle  float64 // without an open job
-	ClientYoung float64 // for a new connection to say something before it gives way to another
-	ClientSpare float64 // without a job, before one that has said something gives way
-	ClientRetry float64 // between looks for a free place
-	EngineWrite float64 // for an engine to take what is written
-	EngineRead  float64 // for the rest of an answer begun
-	EngineAlive float64 // for one connection, while the engine answers on another
-	Probe       float64 // for the answer to a probe
+	Margin       float64 // before a job's time is up, for the way back and for pauses
+	MarginShare  float64 // of the job's time, the most that the margin takes
+	Still        float64 // behind its time, a wake-up is worth a log line
+	ClientWrite  float64 // for a client to take what is written
+	ClientRead   float64 // for the rest of a message begun
+	ClientFirst  float64 // for the first message to begin
+	ClientIdle   float64 // without an open job
+	ClientYoung  float64 // for a new connection to say something before it gives way to another
+	ClientSpare  float64 // without a job, before one that has said something gives way
+	ClientRetry  float64 // between looks for a free place
+	ClientLast   float64 // for what has come when a connection is to end
+	ClientLinger float64 // for the client to close after the last answer
+	EngineWrite  float64 // for an engine to take what is written
+	EngineRead   float64 // for the rest of an answer begun
+	EngineAlive  float64 // for one connection, while the engine answers on another
+	Probe        float64 // for the answer to a probe
 
 	EngineQuiet, EngineQuietest float64 // silence before a sign of life is asked for, at first and at most
 	ChannelQuiet                float64 // without a tick
@@ -98,21 +100,23 @@
 		Work:  864000,
 		Need:  1e8,
 
-		Margin:      0.05, // the way back takes 2 ms; what comes later than its time has failed, no more
-		MarginShare: 0.1,  // some clients allow 50 ms
-		Still:       0.05,
-		ClientWrite: 2,
-		ClientRead:  1.5,
-		ClientFirst: 1, // with the rest of that message within the 3 s in which a bad client hears
-		ClientIdle:  6, // clients close idle ones themselves after 4 s
-		ClientYoung: 0.05,
-		ClientSpare: 1, // clients in use come back sooner
-		ClientRetry: 0.005,
-		EngineWrite: 1,
-		EngineRead:  1,   // engines stand still for 0.4 s
-		EngineAlive: 0.5, // likewise
-		Probe:       0.25,
-		EngineQuiet: 0.5, EngineQuietest: 4, // a probe has its price, and so has what waits
+		Margin:       0.05, // the way back takes 2 ms; what comes later than its time has failed, no more
+		MarginShare:  0.1,  // some clients allow 50 ms
+		Still:        0.05,
+		ClientWrite:  2,
+		ClientRead:   1.5,
+		ClientFirst:  1, // with the rest of that message within the 3 s in which a bad client hears
+		ClientIdle:   6, // clients close idle ones themselves after 4 s
+		ClientYoung:  0.05,
+		ClientSpare:  1, // clients in use come back sooner
+		ClientRetry:  0.005,
+		ClientLast:   0.005,
+		ClientLinger: 0.5, // the way there and back many times
+		EngineWrite:  1,
+		EngineRead:   1,   // engines stand still for 0.4 s
+		EngineAlive:  0.5, // likewise
+		Probe:        0.25,
+		EngineQuiet:  0.5, EngineQuietest: 4, // a probe has its price, and so has what waits
 		ChannelQuiet: 2, // a tick missed and a late one
 		ChannelRetry: 0.1,
 		ChannelWait:  1,
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -110,17 +110,16 @@
 			victim, most, oldest = c, spare, since
 		}
 	}
-	if victim == nil {
+	if victim == nil || !victim.giveWay(now, patience) { // a job has come to it meanwhile
 		return len(s.conns) < s.Limits.ClientConns
 	}
 	delete(s.conns, victim)
-	victim.peer.Close()
 	return true
 }
 
 func (s *Server) admit(peer net.Conn) *conn {
 	c := &conn{Server: s, peer: peer, open: map[uint32]*reply{}, since: time.Now(),
-		write: make(chan answer, 4*s.Limits.JobsPerConn)}
+		write: make(chan answer, 4*s.Limits.JobsPerConn), aside: make(chan answer)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -130,7 +129,8 @@
 	return c
 }
 
-// Leave takes no more jobs; connections close once what is open on them is answered.
+// Leave takes no more jobs: those that still come are throttled. A connection closes once what is open on it is
+// answered; until then its client is followed, which may stop waiting.
 func (s *Server) Leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -144,14 +144,17 @@
 type conn struct {
 	*Server
 	peer  net.Conn
-	write chan answer
+	write chan answer // jobs' answers: there is room for all that can be owed
+	aside chan answer // the reader's own, which waits for the writer: a client sends many commands at once
+	done  <-chan struct{}
 
 	mu      sync.Mutex
 	open    map[uint32]*reply // jobs
 	spoken  bool              // has sent a whole message
 	reading bool              // a message has begun
 	owed    int               // answers not yet written
-	leaving bool              // takes no more jobs
+	leaving bool              // throttles what still comes
+	gave    bool              // gave way: takes nothing more
 	since   time.Time         // the latest message or answer
 }
 
@@ -166,7 +169,28 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving = true
-	c.peer.SetReadDeadline(time.Now())
+	c.finish()
+}
+
+// finish has the reader of a connection that leaves look a last time, with its lock held: what has come by now is
+// answered. A time in the past would have it pass over what lies there.
+func (c *conn) finish() {
+	if c.leaving && len(c.open) == 0 && !c.reading {
+		c.peer.SetReadDeadline(time.Now().Add(limits.Duration(c.Limits.ClientLast)))
+	}
+}
+
+// giveWay closes the connection if it may still go. A job that is read from then on is not taken: its client sends it again.
+func (c *conn) giveWay(now time.Time, patience time.Duration) bool {
+	if spare, _ := c.spare(now, patience); spare == 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gave = len(c.open) == 0 && c.owed == 0; c.gave {
+		c.peer.Close()
+	}
+	return c.gave
 }
 
 func (c *conn) idle() bool {
@@ -194,15 +218,16 @@
 }
 
 // serve reads a connection to its end. Jobs of a client that has left are withdrawn; after a message that can't be
-// followed, or at the server's leave, they are answered first.
+// followed they are answered first.
 func (c *conn) serve(ctx context.Context) {
 	s, peer := c.Server, c.peer
 	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.done = ctx.Done()
 	stop := context.AfterFunc(ctx, func() { peer.Close() })
-	var jobs, writer errgroup.Group
-	writer.Go(func() error { defer cancel(); return c.writes() })
+	var jobs, writer, rest errgroup.Group
+	writer.Go(func() error { return c.writes(cancel) })
 	err := c.reads(ctx, &jobs)
-	var rest errgroup.Group
 	switch {
 	case !errors.Is(err, os.ErrDeadlineExceeded) && errors.As(err, new(*net.OpError)),
 		errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
@@ -215,20 +240,26 @@
 	default:
 		if !errors.Is(err, errLeaving) {
 			s.Log.Info().Err(err).Str("client", peer.RemoteAddr().String()).Msg("client can't be followed")
-			c.put(answer{head: failure(0, "the message can't be read")}) // 0 is the number of no job
+			c.say(answer{head: failure(0, "the message can't be read")}) // 0 is the number of no job
 		}
 		peer.SetReadDeadline(time.Time{})
 		rest.Go(func() error { // what is left unread would reset the connection under the answers
-			_, err := io.CopyN(io.Discard, peer, int64(s.Limits.Message))
-			if err != nil {
+			_, err := io.Copy(io.Discard, struct{ io.Reader }{peer})
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				cancel()
 			}
-			return err
+			return nil
 		})
 	}
 	jobs.Wait()
 	close(c.write)
 	writer.Wait()
+	// So would what still comes, and take away answers that the client has not read yet: it is told first that nothing
+	// more follows, and given a moment to close.
+	if half, ok := peer.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		peer.SetReadDeadline(time.Now().Add(limits.Duration(s.Limits.ClientLinger)))
+		rest.Wait()
+	}
 	stop()
 	peer.Close()
 	rest.Wait()
@@ -261,17 +292,18 @@
 	}
 }
 
-// errLeaving tells that the server leaves: jobs that are open go on.
-var errLeaving = errors.New("the server leaves")
+// errLeaving tells that the connection ends from here, with nothing open on it.
+var errLeaving = errors.New("the connection ends here")
 
-// until gives a read so many seconds, unless the server leaves.
+// until gives a read so many seconds, unless the connection gave way.
 func (c *conn) until(seconds float64, reading bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.spoken = c.spoken || c.reading && !reading
 	c.since, c.reading = time.Now(), reading
 	c.peer.SetReadDeadline(c.since.Add(limits.Duration(seconds)))
-	return !c.leaving
+	c.finish()
+	return !c.gave
 }
 
 // message takes one message. An error means that the stream can't be followed any more.
@@ -298,7 +330,7 @@
 		return err
 	}
 	if err == nil && method == "ping" {
-		c.put(answer{head: c.pong(uint32(id))})
+		c.say(answer{head: c.pong(uint32(id))})
 		return r.skip()
 	}
 	args, shape := r.want(kindList)
@@ -316,28 +348,33 @@
 	to := &reply{conn: c, id: uint32(id), retry: f.retry, first: f.first}
 	c.mu.Lock()
 	twice := c.open[to.id]
+	bad := err != nil || shape != nil || f.bad != ""
 	crowd := len(c.open) >= c.Limits.JobsPerConn || c.owed >= 2*c.Limits.JobsPerConn // or it does not read
+	taken := twice == nil && !bad && !crowd && !f.full && !c.leaving && !c.gave
+	if taken {
+		ctx, to.leave = context.WithCancel(ctx)
+		c.open[to.id] = to
+		c.owed++
+	}
+	gave := c.gave
 	c.mu.Unlock()
+	if !taken {
+		statement.Free()
+	}
 	switch {
+	case gave: // the client sees it closed, and sends the job again
+		return errLeaving
 	case twice != nil: // no answer could tell which of the two it belongs to
-		statement.Free()
 		twice.Failed("a message id was used twice")
 		twice.leave()
 		return fmt.Errorf("message id %d is open already", id)
-	case err != nil || shape != nil || f.bad != "":
-		statement.Free()
+	case bad:
 		to.Failed("the job can't be understood " + f.bad)
 		return nil
-	case crowd || f.full:
-		statement.Free()
+	case !taken:
 		to.Throttled(c.ComeBack)
 		return nil
 	}
-	ctx, to.leave = context.WithCancel(ctx)
-	c.mu.Lock()
-	c.open[to.id] = to
-	c.owed++
-	c.mu.Unlock()
 	jobs.Go(func() error {
 		defer statement.Free()
 		defer to.close()
@@ -475,8 +512,11 @@
 		}
 		if err == nil && name == "abort" && id >= 0 && id <= math.MaxUint32 {
 			c.mu.Lock()
-			if to := c.open[uint32(id)]; to != nil {
+			if to := c.open[uint32(id)]; to != nil { // no answer is owed any more
 				to.leave()
+				to.done = true
+				delete(c.open, to.id)
+				c.owed--
 			}
 			c.mu.Unlock()
 		}
@@ -493,18 +533,37 @@
 	return append(b, 0xc0, 0x92, ready, 0x80)
 }
 
-// put hands an answer to the writer. A queue that is full belongs to a client that does not read.
+// put hands a job's answer to the writer.
 func (c *conn) put(a answer) {
 	select {
 	case c.write <- a:
-	default:
+	default: // of more jobs than may be open
 		a.rows.Free()
 		c.peer.Close()
 	}
 }
 
-func (c *conn) writes() error {
-	for a := range c.write {
+// say hands the reader's own answer to the writer and waits until it has it. Reading stops meanwhile, so that many commands
+// at once fill the client's side and not this one.
+func (c *conn) say(a answer) {
+	select {
+	case c.aside <- a:
+	case <-c.done:
+	}
+}
+
+// writes writes answers until there are no more, or one can't be written: broken then tells the reader.
+func (c *conn) writes(broken func()) error {
+	for {
+		var a answer
+		more := true
+		select {
+		case a, more = <-c.write:
+		case a = <-c.aside:
+		}
+		if !more {
+			return nil
+		}
 		c.peer.SetWriteDeadline(time.Now().Add(limits.Duration(c.Limits.ClientWrite)))
 		parts := append(net.Buffers{a.head}, a.rows.Parts()...)
 		parts = append(parts, a.tail)
@@ -516,14 +575,13 @@
 			c.mu.Unlock()
 		}
 		if err != nil {
-			c.peer.Close()
+			broken()
 			for a := range c.write {
 				a.rows.Free()
 			}
 			return err
 		}
 	}
-	return nil
 }
 
 // reply is the way back of one job.
@@ -604,8 +662,13 @@
 		delete(a.open, a.id)
 	}
 	a.since = time.Now()
+	a.finish()
 	a.mu.Unlock()
-	a.put(w)
+	if w.job {
+		a.put(w)
+	} else {
+		a.say(w)
+	}
 }
 
 // close ends the job on the connection; one whose client has left was not answered.
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -25,6 +25,9 @@
 	release chan struct{}
 }
 
+// much is what it answers to a statement of that word.
+var much = strings.Repeat("x", 40000)
+
 func (g gate) Ready() bool { return true }
 
 func (g gate) Serve(ctx context.Context, to Answer, class, ref, team, customer, key string, asks bool, allow, work, memory float64,
@@ -44,6 +47,8 @@
 		}
 		to.Failed(fmt.Sprintf("team %q customer %q key %q", team, customer, key))
 		to.Waits(1, 1, 1, 1) // nothing goes after the answer
+	case text == "much":
+		to.Failed(much)
 	case text == "throttle":
 		to.Throttled(1.5)
 	case len(text) > 100:
@@ -270,7 +275,7 @@
 	x.Check()
 }
 
-// A server that leaves takes nothing more but answers what it has.
+// A server that leaves takes nothing more but answers what it has, and throttles what still comes.
 func TestLeave(t *testing.T) {
 	x, g, s, address := serve(t, nil)
 	c := x.Dial(address)
@@ -279,6 +284,7 @@
 	c.Answer()
 	s.Leave()
 	c.Job(3, "report", 1500, "not taken")
+	c.Answer()
 	close(g.release)
 	c.Answer()
 	c.Answer()
@@ -296,6 +302,7 @@
 		c.peer, _ = net.Pipe()
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
+		c.done = ctx.Done()
 		var jobs errgroup.Group
 		c.message(ctx, &reader{in: bufio.NewReader(iotest.OneByteReader(bytes.NewReader(text))), left: 1 << 12,
 			depth: 8}, &jobs)
--- /dev/null
+++ b/internal/client/crossing_test.go
@@ -0,0 +1,188 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"copperrock.example/copperrock/internal/base/buffer"
+	"copperrock.example/copperrock/internal/base/limits"
+	"copperrock.example/copperrock/internal/lab/testkit"
+)
+
+// A client stops waiting, or leaves, after the server has begun to leave: its job is withdrawn all the same.
+func TestStopsWaitingAsTheServerLeaves(t *testing.T) {
+	x, g, s, address := serve(t, nil)
+	c, other := x.Dial(address), x.Dial(address)
+	c.Job(1, "report", 1500, "wait")
+	c.Job(2, "report", 1500, "wait")
+	other.Job(3, "report", 1500, "wait")
+	for _, c := range []*testkit.Client{c, other} {
+		c.Send(0, 99, "ping", []any{map[string]string{}})
+		c.Pong() // what came before it has been read
+	}
+	s.Leave()
+	c.Send(2, "abort", []int{1})
+	x.Say("withdrawn: %s", <-g.left)
+	other.Close()
+	x.Say("withdrawn: %s", <-g.left)
+	close(g.release)
+	c.Answer()
+	c.Answer()
+	x.Check()
+}
+
+// A client sends what can't be followed, more than a message may hold, and leaves: its jobs are withdrawn.
+func TestLeavesBehindAFlood(t *testing.T) {
+	x, g, _, address := serve(t, func(l *limits.Limits) { l.Message = 1 << 10 })
+	c := x.Dial(address)
+	c.Job(1, "report", 1500, "wait")
+	c.Write(bytes.Repeat([]byte{0xc1}, 64<<10))
+	c.Answer()
+	c.Close()
+	x.Say("withdrawn: %s", <-g.left)
+	x.Check()
+}
+
+// A client that has stopped waiting for a job may have another one open in its place at once.
+func TestStopsWaitingAndAsksAgain(t *testing.T) {
+	x, g, _, address := serve(t, func(l *limits.Limits) { l.JobsPerConn = 1 })
+	c := x.Dial(address)
+	for id := range 3 {
+		c.Job(id, "report", 1500, "wait")
+		c.Send(2, "abort", []int{id})
+		x.Say("withdrawn: %s", <-g.left)
+	}
+	c.Job(3, "report", 1500, "done")
+	c.Answer()
+	x.Check()
+}
+
+// A client sends many commands at once and reads only then: each has its answer.
+func TestManyCommandsAtOnce(t *testing.T) {
+	x, g, _, address := serve(t, func(l *limits.Limits) { l.ClientWrite = 3600 })
+	c := x.Dial(address)
+	c.Job(1, "report", 1500, "wait")
+	const pings = 5000
+	var all bytes.Buffer
+	for id := range pings {
+		all.Write(testkit.Bytes(fmt.Sprintf("9400cd%04x", id+2) + "a470696e67" + "9180"))
+	}
+	c.Write(all.Bytes())
+	ready := 0
+	for range pings {
+		if c.Pong() {
+			ready++
+		}
+	}
+	x.Say("%d of %d pings answered", ready, pings)
+	close(g.release)
+	c.Answer()
+	x.Check()
+}
+
+// A connection gives way in the moment in which a job comes on it: the job is not taken, or the connection stays.
+func TestJobCrossesGivingWay(t *testing.T) {
+	x := testkit.New(t)
+	job := []byte("\x94\x00\x07\xa6report\x92\x84\xa3ref\xb0" + testkit.Ref(5) + "\xa5allow\xa3900\xa6effort\xa11\xa7need_mb\xa12\xa4wait")
+	for _, first := range []string{"gives way", "job"} {
+		g := gate{make(chan string, 1), make(chan struct{})}
+		c := &conn{Server: &Server{Gate: g, Limits: limits.For(64, 256), Pool: buffer.NewPool(64, 100), Log: zerolog.Nop()},
+			open: map[uint32]*reply{}, write: make(chan answer, 100)}
+		near, far := net.Pipe()
+		c.peer = near
+		ctx, cancel := context.WithCancel(context.Background())
+		c.done = ctx.Done()
+		var jobs errgroup.Group
+		takes := func() error {
+			return c.message(ctx, &reader{in: bufio.NewReader(bytes.NewReader(job)), left: 1 << 12, depth: 8}, &jobs)
+		}
+		x.Say("%s first", first)
+		later := time.Now().Add(time.Hour)
+		if first == "job" {
+			x.Say("  %v, taken %v", takes(), len(c.open) == 1)
+			x.Say("  gives way: %v", c.giveWay(later, 0))
+		} else {
+			x.Say("  gives way: %v", c.giveWay(later, 0))
+			x.Say("  %v, taken %v", takes(), len(c.open) == 1)
+		}
+		cancel()
+		jobs.Wait()
+		near.Close()
+		far.Close()
+		if n := c.Pool.Lent(); n != 0 {
+			t.Errorf("%d buffers are still lent", n)
+		}
+	}
+	x.Check()
+}
+
+// Bytes come on a connection that has been closed with answers not read yet: they take none of these away.
+func TestBytesAfterTheLastAnswer(t *testing.T) {
+	x, _, s, address := serve(t, func(l *limits.Limits) { l.ClientLinger = 3600 })
+	c := x.Dial(address)
+	c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	const jobs = 3
+	for id := range jobs {
+		c.Job(id, "report", 1500, "much")
+	}
+	until(t, func() bool { return written(s) })
+	s.Leave()
+	port := c.LocalAddr().(*net.TCPAddr).Port
+	until(t, func() bool { return closing(port) })
+	c.Send(0, 99, "ping", []any{map[string]string{}})
+	whole := 0
+	for range jobs {
+		x.Lines = nil
+		if c.Answer(); strings.Contains(x.Lines[0], much) {
+			whole++
+		}
+	}
+	x.Lines = nil
+	x.Say("%d of %d answers whole", whole, jobs)
+	c.Answer()
+	x.Check()
+}
+
+// written tells whether all answers on the one connection are in the machine's hands, with nothing left to read.
+func written(s *Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.spoken && !c.reading && len(c.open) == 0 && c.owed == 0 && len(c.write) == 0
+	}
+	return false
+}
+
+// until waits for a state.
+func until(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the state does not come")
+		}
+	}
+}
+
+// closing tells whether this machine has ended its side of the connection to a port.
+func closing(port int) bool {
+	table, _ := os.ReadFile("/proc/net/tcp")
+	for line := range strings.Lines(string(table)) {
+		f := strings.Fields(line)
+		if len(f) > 3 && strings.HasSuffix(f[2], fmt.Sprintf(":%04X", port)) {
+			return f[3] != "01" // established
+		}
+	}
+	return true
+}
