What another customer's clients and engines say is passed on: keys, notes, reports

The resets were ours: 'answer "news" out of place' closed the connection at each note of progress. Reports inside answers (report.how inline) were passed over; customers' shares and order keys were never read on the platform. Ruled out: the order key goes nowhere at engines (no fault without it); names of report fields are the settings'. Change: replay goes on as i, unchanged, or the job can't be understood where it could smuggle a further field; news reaches the module as the simulator's updates do; load in any answer is told to the module; project and lookup are read where the operator has no other use for the names; customers are numbered by the settings.

--- a/cmd/copperrock/main_test.go
+++ b/cmd/copperrock/main_test.go
@@ -45,6 +45,10 @@
 
 // begin starts a controller that knows the engines at the addresses.
 func begin(x *testkit.Trace, lim func(*limits.Limits), engines ...string) *among {
+	return beginWith(x, deployment, lim, engines...)
+}
+
+func beginWith(x *testkit.Trace, deployment string, lim func(*limits.Limits), engines ...string) *among {
 	t := x.T
 	c := &among{Trace: x, channel: x.Channel(), hup: make(chan os.Signal),
 		file: filepath.Join(t.TempDir(), "config.json")}
--- a/cmd/copperrock/run.go
+++ b/cmd/copperrock/run.go
@@ -99,7 +99,7 @@
 		if err != nil {
 			return err
 		}
-		g.WithTeams(stage, s.Teams.Customers)
+		g.WithTeams(stage)
 	}
 	if c.spied != nil {
 		c.spied(g, pool, server)
--- a/internal/base/operator/operator.go
+++ b/internal/base/operator/operator.go
@@ -43,9 +43,8 @@
 
 // Teams are the budgets; none without Budgets.
 type Teams struct {
-	Rules     teams.Rules
-	Budgets   []teams.Budget
-	Customers []string
+	Rules   teams.Rules
+	Budgets []teams.Budget
 }
 
 // Engines tell of the file that lists them. Times are seconds.
@@ -158,7 +157,7 @@
 		o.Text(&s.Fields.Wait, "wait", "field by which a request asks to be told how long it will wait")
 		o.Text(&s.Fields.Retry, "retry", "field with a key that the client repeats with each try of a job, for the store")
 		o.Text(&s.Fields.First, "first", "field by which the client says that this is the first try of its key")
-		seen := map[string]string{"ref": "", "allow": "", "effort": "", "need_mb": ""}
+		seen := map[string]string{"ref": "", "allow": "", "effort": "", "need_mb": "", "replay": ""}
 		for _, f := range [][2]string{{"team", s.Fields.Team}, {"customer", s.Fields.Customer}, {"key", s.Fields.Key}, {"wait", s.Fields.Wait}, {"retry", s.Fields.Retry}, {"first", s.Fields.First}} {
 			name, field := f[0], f[1]
 			if _, taken := seen[field]; taken && field != "" {
@@ -166,6 +165,13 @@
 			}
 			seen[field] = name
 		}
+		asThePlatform := func(to *string, field string) { // where the operator has no other use for the name
+			if _, taken := seen[field]; *to == "" && !taken && !alone {
+				*to = field
+			}
+		}
+		asThePlatform(&s.Fields.Customer, "project")
+		asThePlatform(&s.Fields.Key, "lookup")
 	})
 	o.Object("teams", "budgets of teams; docs/operators/teams.md", s.budgets)
 	if alone && s.Channel == "" && s.Engines.File == "" {
@@ -364,7 +370,7 @@
 		name, rate := "", 0.0
 		o.Text(&name, "name", "as the request field has it", schema.Required())
 		o.Number(&rate, "rate", "jobs a second within its share, over all gateways", schema.Required(), schema.Between(0, 1e9))
-		s.Teams.Customers, b.Tenants = append(s.Teams.Customers, name), append(b.Tenants, rate)
+		all.Customers, b.Tenants = append(all.Customers, name), append(b.Tenants, rate)
 	})
 	o.Number(&b.OverValue, "over_share", "part of its billed value that a job past its customer's share counts for", schema.Default(0.5), schema.Between(0, 1))
 	o.Object("engines", "what engines understand", func(o *schema.Object) { understood(o, &all) })
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -71,6 +71,7 @@
 	Brain                 brain.Settings
 	Fields                []string // of a load report, in their order
 	Classes, Zones, Kinds []string // names, by the module's numbers
+	Customers             []string
 	JobTimeouts           []float64
 	Streams, MostOpen     int
 	Probing               bool
@@ -209,6 +210,9 @@
 		Connect:  v.num("allowed.connect-timeout"),
 		Drain:    v.num("contract.stop-sending-within"),
 	}
+	for i := range s.Tenants {
+		all.Customers = append(all.Customers, v["tenants."+strconv.Itoa(i)+".name"])
+	}
 	for i := range s.Classes {
 		p := "classes." + strconv.Itoa(i) + "."
 		all.Classes = append(all.Classes, v[p+"name"])
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -13,8 +13,10 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -27,8 +29,8 @@
 // the caller's.
 type Gate interface {
 	Ready() bool
-	Serve(ctx context.Context, to Answer, class, ref, team, customer, key string, asks bool, allow, work, memory float64,
-		statement *buffer.Chain)
+	Serve(ctx context.Context, to Answer, class, ref, team, customer, key, idempotency string, asks bool,
+		allow, work, memory float64, statement *buffer.Chain)
 }
 
 // Answer takes a job's final answer, and before it how long it will wait, where it asks.
@@ -384,7 +386,7 @@
 				to.Failed("internal error")
 			}
 		}()
-		c.Gate.Serve(ctx, to, method, f.ref, f.team, f.customer, f.key, f.asks, f.allow, f.work, f.memory, statement)
+		c.Gate.Serve(ctx, to, method, f.ref, f.team, f.customer, f.key, f.idempotency, f.asks, f.allow, f.work, f.memory, statement)
 		return nil
 	})
 	return nil
@@ -394,6 +396,7 @@
 type fields struct {
 	ref, bad            string
 	team, customer, key string
+	idempotency         string // the key by which engines know repeats, for a keyed type
 	retry               string // the key that all tries have
 	first               bool   // it is the first one
 	asks                bool   // to be told its wait
@@ -449,13 +452,19 @@
 			f.work = number(c.Limits.Work*1000) / 1000
 		case "need_mb":
 			f.memory = number(c.Limits.Need)
+		case "replay":
+			if f.idempotency = value; odd != nil || !clean(value) {
+				f.bad = "(replay)"
+			}
 		case "": // no name of ours below may match it
 		case c.Names.Team:
 			f.team = value
 		case c.Names.Customer:
 			f.customer = value
 		case c.Names.Key:
-			f.key = value
+			if f.key = value; odd != nil || !clean(value) {
+				f.bad = "(" + name + ")"
+			}
 		case c.Names.Wait:
 			f.asks = true
 		case c.Names.Retry:
@@ -487,6 +496,11 @@
 	return
 }
 
+// clean tells whether a value goes on to engines as it is: as one field, with no other behind it.
+func clean(s string) bool {
+	return !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == ',' || r == 0x7f || r == utf8.RuneError })
+}
+
 func hex16(s string) bool {
 	_, err := strconv.ParseUint(s, 16, 64)
 	return err == nil && len(s) == 16
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -30,8 +30,8 @@
 
 func (g gate) Ready() bool { return true }
 
-func (g gate) Serve(ctx context.Context, to Answer, class, ref, team, customer, key string, asks bool, allow, work, memory float64,
-	statement *buffer.Chain) {
+func (g gate) Serve(ctx context.Context, to Answer, class, ref, team, customer, key, idempotency string, asks bool,
+	allow, work, memory float64, statement *buffer.Chain) {
 	text := string(statement.Bytes())
 	switch {
 	case text == "wait":
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -450,6 +451,9 @@
 	if k.fence != "" {
 		fields += ",fence=" + k.fence
 	}
+	if k.idempotency != "" {
+		fields += ",i=" + k.idempotency
+	}
 	if c.Settings.Brain.Priorities {
 		fields += fmt.Sprintf(",level=%d", k.priority)
 	}
@@ -521,9 +525,25 @@
 // take hands an answer to what it belongs to. A good one that belongs to nothing here, such as a second copy, is
 // passed over.
 func (c *conn) take(id, word, fields string, body *buffer.Chain) error {
+	if word != "well" && word != "ill" && c.Told != nil {
+		if load, told := report(fields); told {
+			c.Told(load)
+		}
+	}
 	c.mu.Lock()
 	c.heard = time.Now()
 	c.Engine.heard.Store(c.heard.UnixNano())
+	if word == "news" {
+		k := c.calls[id]
+		out := k != nil && (k.state == sent || k.state == paged)
+		c.mu.Unlock()
+		body.Free()
+		topic := slices.Index([]string{"", "pct", "overflow", "queued"}, field(fields, "note"))
+		if amount, told := amount(fields, "amount"); out && topic > 0 && told {
+			k.news(topic, amount)
+		}
+		return nil
+	}
 	if word == "well" || word == "ill" {
 		c.mu.Unlock()
 		body.Free()
@@ -658,12 +678,18 @@
 	return ""
 }
 
+// number is a value, 0 where it is none.
 func number(fields, name string) float64 {
+	v, _ := amount(fields, name)
+	return v
+}
+
+func amount(fields, name string) (v float64, told bool) {
 	v, err := strconv.ParseFloat(field(fields, name), 64)
 	if err != nil || !(v >= 0) || math.IsInf(v, 0) {
-		return 0
+		return 0, false
 	}
-	return v
+	return v, true
 }
 
 // report decodes a load report, as in load=a:7;b:0.61; false where there is none.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -31,6 +31,9 @@
 	Spares   *Spares         // bounds those without a job, nil for no bound
 	Emptied  func()          // the last connection has ended after Stop
 
+	// Told takes a load report that came with an answer, nil where nobody asks.
+	Told func(settings.Load)
+
 	stopped atomic.Bool
 	heard   atomic.Int64 // the latest answer on any connection, in Unix nanoseconds
 	mu      sync.Mutex
@@ -41,14 +44,16 @@
 type Call struct {
 	Work, Memory float64 // as the answer told, 0 where it did not
 
-	conn       *conn
-	ref, class string
-	statement  *buffer.Chain
-	until      time.Time
-	grant      float64
-	priority   int
-	fence      string
-	due        time.Time // overdue from then on
+	conn        *conn
+	ref, class  string
+	statement   *buffer.Chain
+	until       time.Time
+	grant       float64
+	priority    int
+	fence       string
+	idempotency string
+	news        func(topic int, amount float64)
+	due         time.Time // overdue from then on
 
 	// Guarded by the connection.
 	state   state
@@ -69,11 +74,13 @@
 )
 
 // Ask dispatches a job that will run for so many seconds, 0 where that is not known. The statement is held until it
-// is written. fence goes along where engines take one, "" for none.
+// is written. fence goes along where engines take one, and the idempotency key that the client gave; "" for none. news
+// takes notes of progress on the dispatch: 1 the share done, 2 memory that it lacks in MB, 3 that it waits.
 func (e *Engine) Ask(ref, class string, statement *buffer.Chain, until time.Time, grant float64,
-	priority int, run float64, fence string) *Call {
+	priority int, run float64, fence, idempotency string, news func(topic int, amount float64)) *Call {
 	const over = 2 // times the estimated run: engines are shared, and estimates lie that far off
 	k := &Call{ref: ref, class: class, statement: statement, until: until, grant: grant, priority: priority, fence: fence,
+		idempotency: idempotency, news: news,
 		due: time.Now().Add(limits.Duration(over * run)), step: make(chan struct{}, 2), status: brain.NoConnection}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -27,16 +28,18 @@
 	far  *testkit.Engine
 	text *buffer.Chain
 	end  context.CancelFunc
+	told chan string
 }
 
 func start(t *testing.T) *rig {
 	x := testkit.New(t)
-	r := &rig{Trace: x, far: x.Listen("engine", ":0")}
+	r := &rig{Trace: x, far: x.Listen("engine", ":0"), told: make(chan string, 10)}
 	lim := limits.For(64, 256)
 	lim.Probe, lim.Spread = 3600, 1 // no time-out but those that a test asks for
 	ctx, cancel := context.WithCancel(context.Background())
 	r.Engine = &Engine{Address: r.far.Addr().String(), Limits: lim, Pool: buffer.NewPool(lim.Buffer, lim.Buffers),
 		Settings: &settings.Settings{Brain: brain.Settings{Priorities: true}, Streams: 2, Idle: 3600, Connect: 10, Probing: true},
+		Told:     func(load settings.Load) { r.told <- fmt.Sprint("report ", load) },
 		Log:      zerolog.Nop(), Group: &errgroup.Group{}, Context: ctx, Slots: make(chan struct{}, 16)}
 	r.text = r.Pool.NewChain()
 	r.text.Fill(strings.NewReader("select 1"), 8)
@@ -52,9 +55,11 @@
 }
 
 func (r *rig) ask(id int) *Call {
-	return r.Ask(testkit.Ref(id), "report", r.text, time.Now().Add(time.Hour), 96.2, 3, 0, "")
+	return r.Ask(testkit.Ref(id), "report", r.text, time.Now().Add(time.Hour), 96.2, 3, 0, "", "", r.news)
 }
 
+func (r *rig) news(topic int, amount float64) { r.told <- fmt.Sprintf("news %d: %g", topic, amount) }
+
 // ends waits for the dispatch, fetches its pages and says how it ended.
 func (r *rig) ends(k *Call) {
 	status, whole, _ := k.Wait(context.Background())
@@ -236,7 +241,7 @@
 func TestNoSignOfLifeBeforeItIsDue(t *testing.T) {
 	r := start(t)
 	r.Limits.EngineQuiet, r.Limits.EngineQuietest = 0.02, 3600
-	long := r.Ask(testkit.Ref(1), "report", r.text, time.Now().Add(time.Hour), 96.2, 3, 1800, "")
+	long := r.Ask(testkit.Ref(1), "report", r.text, time.Now().Add(time.Hour), 96.2, 3, 1800, "", "", r.news)
 	r.far.Hears(1)
 	r.Engine.mu.Lock()
 	c := r.Engine.conns[0]
@@ -346,3 +351,31 @@
 		}
 	})
 }
+
+// What engines tell beside the ends of dispatches: notes of progress, and reports of their load inside answers. What is
+// not known, or belongs to no dispatch that is out, is passed over and ends nothing.
+func TestNews(t *testing.T) {
+	r := start(t)
+	hear := func(n int) {
+		for range n {
+			r.Say("%s", <-r.told)
+		}
+	}
+	k := r.ask(1)
+	r.far.Hears(1)
+	for _, fields := range []string{"note=pct,amount=0.25", "note=overflow,amount=2458", "note=queued,amount=2", "note=odd,amount=1", "-",
+		"note=pct,amount=NaN", "note=pct"} {
+		r.far.Answers(1, testkit.Ref(1), "news", fields, "")
+	}
+	r.far.Answers(1, testkit.Ref(9), "news", "note=pct,amount=1", "") // of no dispatch here
+	hear(3)
+	r.far.Answers(1, testkit.Ref(1), "data", "chunks=1,spent=5,wanted=4,load=cpu_share:0.5;x0:0.25;odd:1;x1:-3;pending:NaN", "a\tb\tc\n")
+	hear(1)
+	r.ends(k)
+	k = r.ask(2)
+	r.far.Hears(1)
+	r.far.Answers(1, testkit.Ref(2), "full", "load=x0:1")
+	hear(1)
+	r.ends(k)
+	r.Check()
+}
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -158,7 +158,7 @@
 		return NotRun, err.Error()
 	}
 	o.end(NotRun, "not taken")
-	g.Serve(ctx, o, j.Type, j.Ref, j.Team, "", "", false, j.Allow, j.Work, j.Memory, text)
+	g.Serve(ctx, o, j.Type, j.Ref, j.Team, "", "", "", false, j.Allow, j.Work, j.Memory, text)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if ctx.Err() != nil && o.outcome == NotRun && o.asked { // withdrawn: nobody was told
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,7 +128,7 @@
 	if g.among = [2]int{set.Brain.Index, set.Brain.Gateways}; set.Spare > 0 {
 		g.spares = engine.NewSpares()
 	}
-	g.brain = brain.New(seed, set.Brain, g)
+	g.brain, g.customers = brain.New(seed, set.Brain, g), set.Customers
 	return g
 }
 
@@ -154,10 +154,8 @@
 	}
 }
 
-// WithTeams has jobs pass the stage on their way to the module, and names the customers. It is called before Run.
-func (g *Gateway) WithTeams(stage *teams.Stage, customers []string) {
-	g.stage, g.customers = stage, customers
-}
+// WithTeams has jobs pass the stage on their way to the module. It is called before Run.
+func (g *Gateway) WithTeams(stage *teams.Stage) { g.stage = stage }
 
 // Reteam takes other budgets; an error leaves the old ones.
 func (g *Gateway) Reteam(budgets []teams.Budget) (err error) {
@@ -260,8 +258,8 @@
 }
 
 // Serve is the life of a job.
-func (g *Gateway) Serve(left context.Context, to client.Answer, class, ref, team, customer, key string, asks bool,
-	allow, work, memory float64, text *buffer.Chain) {
+func (g *Gateway) Serve(left context.Context, to client.Answer, class, ref, team, customer, key, idempotency string,
+	asks bool, allow, work, memory float64, text *buffer.Chain) {
 	// Taken.
 	number := slices.Index(g.settings.Classes, class)
 	if number < 0 {
@@ -359,7 +357,7 @@
 				}
 			case dispatch:
 				fence, still := "", !over
-				if still {
+				if still = still && left.Err() == nil; still { // a client that has left may not have been heard yet
 					fence, still = g.fence(to)
 				}
 				if still && s.written != nil {
@@ -379,7 +377,10 @@
 				defer cancel()
 				// Dispatched.
 				began := g.now()
-				call := s.process.Ask(ref, class, text, until, s.grant, s.priority, work/g.settings.Brain.Classes[number].Threads, fence)
+				news := func(topic int, amount float64) {
+					g.enter(func(now float64) { g.brain.Progress(now, j.id, s.number, topic, amount) })
+				}
+				call := s.process.Ask(ref, class, text, until, s.grant, s.priority, work/g.settings.Brain.Classes[number].Threads, fence, idempotency, news)
 				calls = append(calls, dispatched{call, cancel})
 				g.group.Go(func() error {
 					status, whole, ran := call.Wait(ctx)
@@ -541,6 +542,14 @@
 		e.address, e.born = m.Address, m.Born
 		process := &engine.Engine{Address: m.Address, Settings: g.settings, Limits: g.limits, Pool: g.pool,
 			Log: g.log, Group: g.group, Context: g.ctx, Slots: g.slots, Spares: g.spares}
+		process.Told = func(load settings.Load) {
+			g.enter(func(now float64) {
+				if e.process == process {
+					e.load, e.loadAt = load, now
+					g.brain.Reported(now, e.id, load[0], load[1], load[2], load[3], load[4])
+				}
+			})
+		}
 		process.Emptied = func() {
 			g.enter(func(float64) {
 				if e.left && e.process == process {
