A give-up is on its way before the job goes elsewhere, where none may be out twice

Followed by its id through the one controller's log: QUIT queued on one connection and ASK written on another to the same engine within the same millisecond, in the order WRITE, QUITTING. Two connections' writers do not wait for each other, nor does the network. Ruled out: a lost answer, a reset (the connection stayed up), a lagging copy (the settings forbid it). Change: where settings allow no copies, the end of a dispatch that may still run is told to the module once its give-up has been flushed (or the connection has ended) and 25 ms more have passed, ten times the way between zones. Elsewhere nothing changes. An engine that takes no bytes costs its connection after a second, as before.

--- /dev/null
+++ b/cmd/copperrock/crossing_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"copperrock.example/copperrock/internal/base/limits"
+	"copperrock.example/copperrock/internal/lab/testkit"
+)
+
+// A job that is called off goes on elsewhere where no job may be out twice: the engine has heard of its end first, though
+// the two go by connections that do not wait for each other.
+func TestCalledOffBeforeTheNext(t *testing.T) {
+	x := testkit.New(t)
+	e := x.Listen("engine", ":0")
+	alone := strings.NewReplacer(`"may-duplicate":true`, `"may-duplicate":false`).Replace(deployment)
+	c := beginWith(x, alone, nil, e.Addr().String())
+	c.client.Send(0, 1, "lookup", []any{map[string]string{"ref": testkit.Ref(1), "allow": "60000", "effort": "5.0", "need_mb": "96"},
+		[]byte("select 1")})
+	e.Hears(1)
+	quit := make(chan bool)
+	go func() { // notes that it has hardly begun, until it counts as run away
+		defer close(quit)
+		for e.Heard() == 0 {
+			e.Answers(1, testkit.Ref(1), "news", "note=pct,amount=0.001", "")
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	<-quit
+	e.Hears(2)
+	e.Answers(2, testkit.Ref(1), "data", "chunks=1,spent=5,wanted=96", "a\tb\tc\n")
+	c.client.Answer()
+	c.Check()
+}
+
+// A job is held, for there is no engine; its client stops waiting or leaves, in the ordinary course or as the gateway
+// leaves. An engine comes then: it is sent nothing of that job.
+func TestHeldJobOfAClientThatHasLeft(t *testing.T) {
+	for _, leaves := range []string{"stops waiting", "closes", "stops waiting as the gateway leaves", "closes as the gateway leaves"} {
+		t.Run(strings.ReplaceAll(leaves, " ", "_"), func(t *testing.T) {
+			x := testkit.New(t)
+			e := x.Listen("engine", ":0")
+			c := begin(x, func(l *limits.Limits) { l.Longest, l.Leave = 60, 60 })
+			held := x.Dial(c.address)
+			held.Job(1, "lookup", 50000, "select 1")
+			c.client.Job(2, "load", 50000, "select 2")
+			for _, peer := range []*testkit.Client{held, c.client} {
+				peer.Send(0, 99, "ping", []any{map[string]string{}})
+				peer.Pong()
+			}
+			c.holds(2)
+			if strings.Contains(leaves, "gateway") {
+				c.term()
+				c.leaves()
+			}
+			if strings.HasPrefix(leaves, "stops") {
+				held.Send(2, "abort", []int{1})
+			} else {
+				held.Close()
+			}
+			c.holds(1)
+			c.channel.Tells(c.event(false, "in_service", e.Addr().String()))
+			e.Hears(1)
+			e.Answers(1, testkit.Ref(2), "data", "chunks=1", "a\tb\tc\n")
+			c.client.Answer()
+			c.Check()
+		})
+	}
+}
--- a/cmd/copperrock/main_test.go
+++ b/cmd/copperrock/main_test.go
@@ -15,11 +15,14 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"copperrock.example/copperrock/internal/base/buffer"
 	"copperrock.example/copperrock/internal/base/config"
 	"copperrock.example/copperrock/internal/base/limits"
 	"copperrock.example/copperrock/internal/base/logging"
 	"copperrock.example/copperrock/internal/base/operator"
 	"copperrock.example/copperrock/internal/base/settings"
+	"copperrock.example/copperrock/internal/client"
+	"copperrock.example/copperrock/internal/gateway"
 	"copperrock.example/copperrock/internal/lab/testkit"
 )
 
@@ -41,6 +44,34 @@
 	hup     chan os.Signal
 	file    string // of the configuration
 	ended   errgroup.Group
+	gateway *gateway.Gateway
+}
+
+// holds waits until the gateway has so many jobs.
+func (c *among) holds(jobs int) {
+	c.T.Helper()
+	c.until("jobs", func() bool { return c.gateway.Open() == jobs })
+}
+
+// leaves waits until no client is let in any more.
+func (c *among) leaves() {
+	c.T.Helper()
+	c.until("leaving", func() bool {
+		peer, err := net.Dial("tcp", c.address)
+		if err == nil {
+			peer.Close()
+		}
+		return err != nil
+	})
+}
+
+func (c *among) until(what string, holds func() bool) {
+	c.T.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			c.T.Fatalf("no %s in time", what)
+		}
+	}
 }
 
 // begin starts a controller that knows the engines at the addresses.
@@ -74,7 +105,8 @@
 	c.term = cancel
 	whole.Limits = limit
 	one := &controller{settings: whole, again: func() (*operator.Settings, error) { return read("", c.file) }, listener: l,
-		logs: logging.New(io.Discard, whole.Log, time.Now), hup: c.hup}
+		logs: logging.New(io.Discard, whole.Log, time.Now), hup: c.hup,
+		spied: func(g *gateway.Gateway, _ *buffer.Pool, _ *client.Server) { c.gateway = g }}
 	c.ended.Go(func() error { return one.run(term) })
 	t.Cleanup(func() {
 		cancel()
--- a/internal/base/limits/limits.go
+++ b/internal/base/limits/limits.go
@@ -55,6 +55,7 @@
 	EngineWrite  float64 // for an engine to take what is written
 	EngineRead   float64 // for the rest of an answer begun
 	EngineAlive  float64 // for one connection, while the engine answers on another
+	GiveUp       float64 // for a give-up to reach its engine
 	Probe        float64 // for the answer to a probe
 
 	EngineQuiet, EngineQuietest float64 // silence before a sign of life is asked for, at first and at most
@@ -113,8 +114,9 @@
 		ClientLast:   0.005,
 		ClientLinger: 0.5, // the way there and back many times
 		EngineWrite:  1,
-		EngineRead:   1,   // engines stand still for 0.4 s
-		EngineAlive:  0.5, // likewise
+		EngineRead:   1,     // engines stand still for 0.4 s
+		EngineAlive:  0.5,   // likewise
+		GiveUp:       0.025, // ten times the way between zones
 		Probe:        0.25,
 		EngineQuiet:  0.5, EngineQuietest: 4, // a probe has its price, and so has what waits
 		ChannelQuiet: 2, // a tick missed and a late one
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -54,6 +54,7 @@
 type line struct {
 	call  *Call
 	words []string
+	gone  chan struct{} // closed once it is with the machine, or the connection has ended; nil where nobody waits
 }
 
 type probe struct {
@@ -121,9 +122,17 @@
 			c.shut()
 		}
 	}
+	l.free()
+}
+
+// free lets go of a line that is written or never will be.
+func (l line) free() {
 	if l.call != nil {
 		l.call.statement.Free()
 	}
+	if l.gone != nil {
+		close(l.gone)
+	}
 }
 
 // shut ends the connection; run sees to the rest.
@@ -308,9 +317,9 @@
 	c.left[k.ref] = struct{}{}
 	c.quit = time.Now()
 	if was == paged {
-		c.put(line{words: []string{"FREE", k.ref}})
+		c.put(line{words: []string{"FREE", k.ref}, gone: k.left})
 	} else {
-		c.put(line{words: []string{"QUIT", k.ref}})
+		c.put(line{words: []string{"QUIT", k.ref}, gone: k.left})
 	}
 	return true, true
 }
@@ -345,8 +354,11 @@
 // run is the connection's life. What is open at its end may have run if any of it had gone; if none had, the engine
 // is to blame only where none came up.
 func (c *conn) run(ctx context.Context) {
-	dialer := net.Dialer{Timeout: limits.Duration(c.Settings.Connect)}
-	peer, err := dialer.DialContext(ctx, "tcp", c.Address)
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: limits.Duration(c.Settings.Connect)}).DialContext
+	}
+	peer, err := dial(ctx, "tcp", c.Address)
 	if err == nil {
 		c.mu.Lock()
 		c.peer = peer
@@ -390,9 +402,7 @@
 		c.probed(tag, settings.Untold, false)
 	}
 	for len(c.write) > 0 {
-		if l := <-c.write; l.call != nil {
-			l.call.statement.Free()
-		}
+		(<-c.write).free()
 	}
 	if !quiet {
 		c.Log.Info().Err(err).Str("engine", c.Address).Int("dispatches", open).Msg("engine connection lost")
@@ -401,6 +411,14 @@
 
 func (c *conn) writes(ctx context.Context) error {
 	out := bufio.NewWriterSize(c.peer, c.Limits.Buffer)
+	var batch []line
+	free := func() {
+		for _, l := range batch {
+			l.free()
+		}
+		batch = batch[:0]
+	}
+	defer free()
 	for {
 		select {
 		case <-ctx.Done():
@@ -410,6 +428,7 @@
 			patience := min(c.Limits.EngineWrite, cmp.Or(c.Settings.Drain, c.Limits.EngineWrite))
 			c.peer.SetWriteDeadline(time.Now().Add(limits.Duration(patience)))
 			for more := true; more; {
+				batch = append(batch, l)
 				c.put1(out, l)
 				select {
 				case l = <-c.write:
@@ -421,6 +440,7 @@
 		if err := out.Flush(); err != nil {
 			return err
 		}
+		free()
 	}
 }
 
@@ -431,7 +451,6 @@
 		command(out, l.words...)
 		return
 	}
-	defer k.statement.Free()
 	c.mu.Lock()
 	left := time.Until(k.until).Milliseconds()
 	switch {
--- /dev/null
+++ b/internal/engine/crossing_test.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+
+	"copperrock.example/copperrock/internal/lab/standin"
+)
+
+// heldUp is a connection whose far end the test reads itself: nothing that is written goes until then.
+func heldUp(r *rig) (far chan net.Conn) {
+	far = make(chan net.Conn, 10)
+	r.Engine.Dial = func(context.Context, string, string) (net.Conn, error) {
+		near, away := net.Pipe()
+		r.T.Cleanup(func() { away.Close() })
+		far <- away
+		return near, nil
+	}
+	return far
+}
+
+// A give-up is told as on its way only once it is: until then the job must not go to another engine where none may be out
+// twice. The end of the connection gives up as well.
+func TestGiveUpIsOnItsWay(t *testing.T) {
+	r := start(t)
+	far := heldUp(r)
+	for _, ends := range []bool{false, true} {
+		k := r.ask(1)
+		away := <-far
+		in := bufio.NewReader(away)
+		words, err := standin.Command(in)
+		r.Say("%s %v", words[0], err)
+		left := make(chan struct{})
+		r.givesUp(k)
+		go func() { k.Left(); close(left) }()
+		on := func() bool {
+			select {
+			case <-left:
+				return true
+			default:
+				return false
+			}
+		}
+		r.Say("on its way before its engine reads: %v", on())
+		if ends {
+			away.Close()
+		} else {
+			words, err = standin.Command(in)
+			r.Say("%s %v", words[0], err)
+		}
+		<-left
+		r.Say("on its way after")
+		r.Engine.Stop(true)
+		r.Engine.Resume()
+	}
+	r.Check()
+}
+
+// A connection comes up only after the job's client has left, or after its engine has begun to drain: nothing of the job
+// goes on it.
+func TestConnectionComesUpLate(t *testing.T) {
+	for _, first := range []string{"held back", "given up", "drained", "gone", "time up"} {
+		t.Run(first, func(t *testing.T) {
+			r := start(t)
+			up := make(chan struct{})
+			r.Engine.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				<-up
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+			k := r.ask(1)
+			switch first {
+			case "held back":
+				k.HoldBack()
+				r.ends(k)
+			case "given up":
+				r.givesUp(k)
+			case "drained", "gone":
+				r.Engine.Stop(first == "gone")
+				r.ends(k)
+			case "time up":
+				k.conn.lock()
+				k.until = k.until.AddDate(-1, 0, 0)
+				k.conn.unlock()
+			}
+			close(up)
+			switch first {
+			case "time up":
+				r.ends(k)
+			case "drained", "gone": // the connection ends with nothing on it
+				r.far.Hears(1)
+			}
+			r.Engine.Resume()
+			other := r.ask(2) // whatever goes on that connection would come before
+			r.far.Hears(1)
+			r.givesUp(other)
+			r.far.Hears(1)
+			r.Check()
+		})
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,9 @@
 	Spares   *Spares         // bounds those without a job, nil for no bound
 	Emptied  func()          // the last connection has ended after Stop
 
+	// Dial opens a connection, nil for the usual way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	// Told takes a load report that came with an answer, nil where nobody asks.
 	Told func(settings.Load)
 
@@ -59,6 +63,7 @@
 	state   state
 	status  brain.Status
 	step    chan struct{} // the dispatch has ended, then the pages are there
+	left    chan struct{} // closed once a give-up is on its way
 	pages   []*buffer.Chain
 	missing int
 	size    int
@@ -80,7 +85,7 @@
 	priority int, run float64, fence, idempotency string, news func(topic int, amount float64)) *Call {
 	const over = 2 // times the estimated run: engines are shared, and estimates lie that far off
 	k := &Call{ref: ref, class: class, statement: statement, until: until, grant: grant, priority: priority, fence: fence,
-		idempotency: idempotency, news: news,
+		idempotency: idempotency, news: news, left: make(chan struct{}),
 		due: time.Now().Add(limits.Duration(over * run)), step: make(chan struct{}, 2), status: brain.NoConnection}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -218,6 +223,10 @@
 	return k.status, k.state == ended, true
 }
 
+// Left waits until the give-up of a dispatch that Wait told as called off is on its way, or its connection has ended, which
+// gives it up as well.
+func (k *Call) Left() { <-k.left }
+
 // Next asks for all further pages.
 func (k *Call) Next() { k.conn.next(k) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -388,6 +388,14 @@
 						call.Next()
 						status, _, ran = call.Wait(ctx)
 					}
+					// Where no job may be out twice, its end at one engine comes before the next dispatch: the two go by
+					// connections that do not wait for each other. Other dispatches of engines that hang lose that moment.
+					if !g.settings.Brain.MayCopy && ran && (status == brain.CalledOff || status == brain.Reset) {
+						if status == brain.CalledOff {
+							call.Left()
+						}
+						time.Sleep(limits.Duration(g.limits.GiveUp))
+					}
 					switch {
 					case status == brain.CalledOff && !ran:
 						status = brain.Moot
--- a/internal/lab/testkit/testkit.go
+++ b/internal/lab/testkit/testkit.go
@@ -239,6 +239,9 @@
 	}
 }
 
+// Heard is how many commands have come that no Hears has told yet.
+func (e *Engine) Heard() int { return len(e.said) }
+
 // Hears waits for so many commands; those at once come in the order of the alphabet.
 func (e *Engine) Hears(n int) {
 	e.T.Helper()
