Lines of order keys are forgotten once nothing of them is open

Cause: order keys come from clients on sockets now; a line for each key ever seen stayed, so a client that names new keys took memory without bound. Change: keyLines looks through its lines each time their number has doubled and lets go of those with no job, no dispatch out and no rest left.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -78,7 +78,7 @@
 // New makes the module of one gateway.
 func New(seed uint64, set Settings, out Actions) *Brain {
 	b := &Brain{set: set, out: out, dice: dice{seed: seed}, roster: roster{engines: map[uint32]*engine{}},
-		jobs: map[uint32]*job{}, lines: keyLines{}, overdue: newRing(1, 10), ends: math.Inf(1),
+		jobs: map[uint32]*job{}, lines: keyLines{of: map[uint64]*keyLine{}}, overdue: newRing(1, 10), ends: math.Inf(1),
 		part: 1 / float64(set.Gateways), wide: 1}
 	for i := range set.Classes {
 		c := &set.Classes[i]
@@ -120,7 +120,7 @@
 		j.value *= b.set.OverValue
 	}
 	if c.InOrder && key != 0 {
-		b.lines.join(key, j)
+		b.lines.join(now, key, j)
 		j.line.restUntil = max(j.line.restUntil, b.rested)
 	}
 	heap.Push(&b.giveUps, j)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -857,3 +857,25 @@
 	}
 	testkit.Check(t, lines)
 }
+
+// Lines of keys are forgotten once nothing of them is open and no rest binds them: a client that names ever new keys takes
+// no more memory than one that comes back to its own.
+func TestKeysAreForgotten(t *testing.T) {
+	x := start(t, Settings{KeyRest: 1}, Class{InOrder: true, Effect: Keyed, SLA: 9, Window: 5})
+	x.list(Whole, true, 0, 1, 2, 3)
+	most := 0
+	for id := range uint32(10000) {
+		x.at += 0.01
+		x.arrive(id, 0, uint64(id)+1, 0.1, 10)
+		if id%7 == 0 {
+			x.outcome(id, 0, Reset) // it may still run: the key rests
+			x.outcome(id, 1, Done)
+		} else {
+			x.outcome(id, 0, Done)
+		}
+		most = max(most, len(x.Brain.lines.of))
+	}
+	x.lines = nil
+	x.say("keys kept at most under 200: %v", most < 200)
+	testkit.Check(t, x.lines)
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"encoding/binary"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 )
@@ -300,14 +301,22 @@
 	return sum
 }
 
-type keyLines map[uint64]*keyLine
+// keyLines holds the lines of keys with a job, and for a while others.
+type keyLines struct {
+	of   map[uint64]*keyLine
+	most int // lines, until those with nothing in them are forgotten
+}
 
 // join puts the job at the end of its key's line.
-func (l keyLines) join(key uint64, j *job) {
-	if l[key] == nil {
-		l[key] = &keyLine{}
+func (l *keyLines) join(now float64, key uint64, j *job) {
+	if len(l.of) >= l.most {
+		maps.DeleteFunc(l.of, func(_ uint64, k *keyLine) bool { return len(k.jobs) == 0 && k.out == 0 && now >= k.restUntil })
+		l.most = 2*len(l.of) + 64 // so that looking through them costs little a job
+	}
+	if l.of[key] == nil {
+		l.of[key] = &keyLine{}
 	}
-	j.line = l[key]
+	j.line = l.of[key]
 	j.line.jobs = append(j.line.jobs, j)
 }
 
