Settings that can't be used refuse the start by field; kinds nobody named bind nothing

Cause, found by reading: a number that can't be read was 0, an effect that is not known run-once, a binding to a kind or zone that does not exist bound to nothing, each unseen until jobs failed. Change: the configuration's fields are checked once, and the first fault ends the start with its name; what is not known, missing or null is passed over as before. Ruled out: more fields than those read are checked; a type bound to a known and an unknown kind still starts.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -293,7 +293,7 @@
 	d := j.first()
 	repeat := d != nil && c.Effect == Keyed
 	return (c.Zones == nil || slices.Contains(c.Zones, e.zone)) &&
-		(c.Kinds == nil || slices.Contains(c.Kinds, e.kind)) &&
+		(c.Kinds == nil || slices.Contains(c.Kinds, e.listedKind)) &&
 		!slices.ContainsFunc(j.dispatches, func(d *dispatch) bool { return d.out && d.engine == e }) &&
 		!(repeat && c.Group == GroupZone && e.zone != d.engine.zone) &&
 		!(repeat && c.Group == GroupCell && e.cell != d.engine.cell) &&
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -879,3 +879,27 @@
 	x.say("keys kept at most under 200: %v", most < 200)
 	testkit.Check(t, x.lines)
 }
+
+// An engine of a kind or zone that the settings do not name takes unbound jobs alone; so does one that changes to such a
+// kind between lists. A bound job is held, or ended, rather than sent there.
+func TestKindNobodyNamed(t *testing.T) {
+	x := start(t, Settings{}, Class{}, Class{Kinds: []int{1}}, Class{Zones: []int{1}})
+	listed := func(mode ListMode, zone, kind int) {
+		x.say("roster: engine 1 in zone %d, of kind %d", zone, kind)
+		x.RosterBegins(x.at, mode)
+		x.Listed(x.at, 1, zone, kind, 0, true, 1, 0)
+		x.RosterEnds(x.at)
+	}
+	listed(Whole, 7, 2) // two kinds are named
+	x.arrive(1, 0, 0, 1, 100)
+	x.arrive(2, 1, 0, 1, 100)
+	x.arrive(3, 2, 0, 1, 100)
+	x.pass(0.5)
+	listed(Changes, 1, 1)
+	x.pass(0.6)
+	x.outcome(2, 0, Failed)
+	listed(Changes, 1, 9)
+	x.arrive(4, 1, 0, 1, 100)
+	x.pass(20)
+	x.check()
+}
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -349,7 +349,8 @@
 }
 
 // Listed takes in one entry of the roster. A new start voids what was held against the engine's last one. weight is
-// its part of jobs and of memory against the others', over 0; all alike, they change nothing.
+// its part of jobs and of memory against the others', over 0; all alike, they change nothing. A kind or zone that the settings
+// do not name is a number past theirs: what is bound does not go there, and a kind is sized as the last one.
 func (b *Brain) Listed(now float64, id uint32, zone, kind, cell int, ready bool, weight, up float64) {
 	e := b.roster.entry(id, cmp.Or(b.set.FallWindow, 1)/10)
 	if up > e.up {
@@ -358,5 +359,5 @@
 		e.doubted, e.restLength, e.fullUntil, e.ease = false, 0, 0, 1
 	}
 	e.zone, e.kind, e.cell, e.ready, e.listed = zone, min(kind, len(b.set.Kinds)-1), cell, ready, true
-	e.weight = weight
+	e.weight, e.listedKind = weight, kind
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -88,6 +88,7 @@
 type engine struct {
 	id                    uint32
 	zone, kind, cell      int
+	listedKind            int // as told; kind is one whose size is known
 	ready, listed         bool
 	up                    float64 // its latest start, as told
 	ease                  float64 // of its share, 1 without room left by others
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	pathpkg "path"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +16,44 @@
 
 type values map[string]string
 
+// faults tells what of the configuration can't be used, by field: it would hold for every job, unseen. What is not known is
+// passed over, and what is missing is zero.
+func (v values) faults() (all []error) {
+	for path, text := range v {
+		at := func(names ...string) bool {
+			return slices.ContainsFunc(names, func(name string) bool { ok, _ := pathpkg.Match(name, path); return ok })
+		}
+		fault := func(what string) { all = append(all, fmt.Errorf("settings: %s: %q is no %s", path, text, what)) }
+		numbers := func(items []string) {
+			if slices.ContainsFunc(items, func(s string) bool { f, err := strconv.ParseFloat(s, 64); return err != nil || !(f >= 0) || f > 1e12 }) {
+				fault("number, or out of range")
+			}
+		}
+		switch {
+		case at("allowed.conn-idle", "allowed.connect-timeout", "allowed.max-open", "allowed.max-retry-after", "allowed.streams-per-conn",
+			"allowed.try-limit", "classes.*.aim-stretch", "classes.*.give-up", "classes.*.objective", "classes.*.window", "classes.*.worth",
+			"contract.budget-free", "contract.cold", "contract.cold-from", "contract.counted-over", "contract.fall", "contract.fall-multiple",
+			"contract.resend-ratio", "contract.stop-sending-within", "contract.turn-gap", "family-info.largest-share", "group-size", "index", "over-share-worth", "tenants.*.quota-rps", "zone"):
+			numbers([]string{text})
+		case at("family-info.dop", "family-info.kind-cores", "family-info.ram-of-kind-mb"):
+			numbers(v.list(path))
+		case at("allowed.cancel", "allowed.may-duplicate", "allowed.probing", "allowed.retry-after", "classes.*.fifo-by-key",
+			"family-info.grants", "family-info.takes-priority") && text != "true" && text != "false":
+			fault("true or false")
+		case at("classes.*.repeat") && !slices.Contains([]string{"pure", "token", "side_effect"}, text):
+			fault("effect that is known")
+		case at("classes.*.group") && !slices.Contains([]string{"all", "zone", "cell"}, text):
+			fault("group that is known")
+		case at("classes.*.stays-in") && text != "" && len(v.indexes(path, "areas")) == 0:
+			fault("zone among the areas")
+		case at("classes.*.host-types-open") && text != "" && len(v.indexes(path, "host-types")) == 0:
+			fault("kind among the host-types")
+		}
+	}
+	slices.SortFunc(all, func(x, y error) int { return strings.Compare(x.Error(), y.Error()) })
+	return all
+}
+
 func (v values) num(path string) float64 {
 	f, err := strconv.ParseFloat(v[path], 64)
 	if err != nil {
@@ -103,6 +142,9 @@
 	}
 	v := values{}
 	v.lay("", tree)
+	if faults := v.faults(); faults != nil {
+		return Settings{}, faults[0]
+	}
 	return v.decode(), nil
 }
 
--- a/internal/base/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -1,9 +1,13 @@
 package settings
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"copperrock.example/copperrock/internal/lab/testkit"
 )
 
 // Both forms give the module and the sockets the same.
@@ -44,6 +48,7 @@
 index=2
 report.fields=busy_reqs,x0
 tenants.count=1
+tenants.0.name=acme
 tenants.0.quota-rps=107.5
 unknown.key=9
 zone=1
@@ -55,7 +60,7 @@
 "group":"cell","host-types-open":[],"name":"load","repeat":"token"}],"contract":{"stop-sending-within":1.0},
 "family-info":{"dop":[1,2],"grants":true,"kind-cores":[16,8],"ram-of-kind-mb":[32768.0,16384.0],
 "writes-tables":[false,true]},"group-size":3,"host-types":["std-16","std-8"],"index":2,
-"report":{"fields":["busy_reqs","x0"]},"tenants":[{"quota-rps":107.5}],"unknown":{"key":9},"zone":1}`
+"report":{"fields":["busy_reqs","x0"]},"tenants":[{"name":"acme","quota-rps":107.5}],"unknown":{"key":9},"zone":1}`
 	got, err := JSON([]byte(nested))
 	if err != nil {
 		t.Fatal(err)
@@ -69,6 +74,22 @@
 	}
 }
 
+// What can't be used is told by its field; what is not known, missing or null is passed over.
+func TestFaults(t *testing.T) {
+	const sound = `{"areas":["east"],"host-types":["std"],"allowed":{"cancel":true,"try-limit":3},"contract":{"fall":2},` +
+		`"classes":[{"name":"lookup","give-up":2,"repeat":"pure","group":"all","host-types-open":["std"],"stays-in":["east"]}],` +
+		`"family-info":{"dop":[1],"ram-of-kind-mb":[32768]},"tenants":[{"name":"acme","quota-rps":5}]}`
+	var lines []string
+	for _, c := range [][2]string{{"", ""}, {`"try-limit":3`, `"try-limit":"three"`}, {`"cancel":true`, `"cancel":"yes"`}, {`"cancel":true`, `"cancel":null`},
+		{`"fall":2`, `"fall":-2`}, {`"fall":2`, `"fall":2,"odd":-1`}, {`"give-up":2`, `"give-up":"NaN"`}, {`"pure"`, `"maybe"`}, {`"group":"all"`, `"group":"rack"`},
+		{`["std"],"stays-in"`, `["huge"],"stays-in"`}, {`["std"],"stays-in"`, `["huge","std"],"stays-in"`}, {`"stays-in":["east"]`, `"stays-in":["west"]`},
+		{`"dop":[1]`, `"dop":["one"]`}, {`[32768]`, `[32768,"much"]`}, {`"quota-rps":5`, `"quota-rps":{}`}, {`"allowed"`, `"unheard_of":7,"allowed"`}} {
+		_, err := JSON([]byte(strings.Replace(sound, c[0], c[1], 1)))
+		lines = append(lines, fmt.Sprintf("%s: %v", c[1], err))
+	}
+	testkit.Check(t, lines)
+}
+
 func FuzzJSON(f *testing.F) {
 	f.Add([]byte(`{"classes":[{"name":"a"},3],"areas":[],"index":1e99,"family-info":{"dop":["x",null]}}`))
 	f.Fuzz(func(t *testing.T, text []byte) { JSON(text) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -599,7 +599,7 @@
 	return id
 }
 
-// index finds a name in a list; names may also be told as numbers.
+// index finds a name in a list, past its end where it is not there; names may also be told as numbers.
 func index(names []string, name string) int {
 	if i := slices.Index(names, settings.Name(name)); i >= 0 {
 		return i
@@ -607,7 +607,7 @@
 	if i, err := strconv.Atoi(name); err == nil && i >= 0 && i < len(names) {
 		return i
 	}
-	return 0
+	return len(names)
 }
 
 // ---- what the module decides, with its lock held
