After a stop of the whole process, what lies unread counts before what it held

Found by reading Run: timers are due before the sockets are read when a stopped process goes on, so a held job went to an engine that had begun to drain, or on behalf of a client that had left, while it stood still. Ruled out: the module's own forgiveness (it concerns silence of engines alone). Change: a wake-up over 50 ms behind its time waits 2 ms more, in which what came is read. A dispatch that finds no descriptor is told as never run, not as an engine that is gone: it blamed every engine in turn. What could be harmed: decisions come 2 ms later after each stop.

--- a/internal/base/limits/limits.go
+++ b/internal/base/limits/limits.go
@@ -42,6 +42,7 @@
 	// Times.
 	Margin       float64 // before a job's time is up, for the way back and for pauses
 	MarginShare  float64 // of the job's time, the most that the margin takes
+	Heard        float64 // for what came while the process stood still to be read
 	Still        float64 // behind its time, a wake-up is worth a log line
 	ClientWrite  float64 // for a client to take what is written
 	ClientRead   float64 // for the rest of a message begun
@@ -103,6 +104,7 @@
 
 		Margin:       0.05, // the way back takes 2 ms; what comes later than its time has failed, no more
 		MarginShare:  0.1,  // some clients allow 50 ms
+		Heard:        0.002,
 		Still:        0.05,
 		ClientWrite:  2,
 		ClientRead:   1.5,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -95,7 +95,7 @@
 		}
 	}
 	k.state = ended
-	if e.stopped.Load() { // not the engine's fault
+	if e.stopped.Load() || len(e.Slots) == cap(e.Slots) { // not the engine's fault
 		k.status = brain.Moot
 	}
 	k.step <- struct{}{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -209,17 +209,19 @@
 
 // Run keeps the module's wake-ups until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	for {
+	for heard := false; ; {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-g.bell.C:
-			g.enter(func(now float64) {
-				if by := now - g.due; by > g.limits.Still {
-					g.log.Warn().Float64("by", by).Msg("stood still")
-				}
-				g.brain.Woken(now)
-			})
+			if by := g.behind(); by > g.limits.Still && !heard {
+				g.log.Warn().Float64("by", by).Msg("stood still")
+				heard = true
+				g.bell.Reset(limits.Duration(g.limits.Heard))
+				continue
+			}
+			heard = false
+			g.enter(func(now float64) { g.brain.Woken(now) })
 		case tell := <-g.later:
 			g.enter(tell)
 		case <-g.stageBell.C:
@@ -232,6 +234,15 @@
 	}
 }
 
+// behind is how far behind its time a wake-up comes. After a stop of the whole process timers are due before anything that
+// came meanwhile has been read: engines that drain, clients that have left. What the module holds must not go out on what
+// held before; the wake-up waits for a moment in which that is read.
+func (g *Gateway) behind() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.now() - g.due
+}
+
 // Ready tells whether jobs can be taken.
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
