--- a/internal/client/crossing_test.go
+++ b/internal/client/crossing_test.go
@@ -186,3 +186,36 @@
 	}
 	return true
 }
+
+// A job comes in the very moment in which the server leaves: it has one answer, whichever comes first.
+func TestJobCrossesLeave(t *testing.T) {
+	x := testkit.New(t)
+	answered, told := 0, 0
+	const times = 200
+	for i := range times {
+		_, _, s, address := serve(t, nil)
+		c := x.Dial(address)
+		c.Job(1, "report", 1500, "first")
+		c.Answer()
+		sent := make(chan struct{})
+		go func() { defer close(sent); c.Job(2, "report", 1500, "crosses") }()
+		if i%2 == 0 {
+			<-sent
+		}
+		s.Leave()
+		<-sent
+		x.Lines = nil
+		c.Answer()
+		c.Answer()
+		whole := strings.Contains(x.Lines[0], "crosses") || strings.Contains(x.Lines[0], "Rejected")
+		switch end := "client: connection ended"; {
+		case i%2 == 0 && whole && x.Lines[1] == end:
+			answered++
+		case i%2 == 1 && (whole && x.Lines[1] == end || x.Lines[0] == end):
+			told++
+		}
+	}
+	x.Lines = nil
+	x.Say("sent before: %d of %d answered; beside: %d of %d answered, or told that nothing more comes", answered, times/2, told, times/2)
+	x.Check()
+}
