A new configuration's events count; a tick past what is known is no event

Ticks come as {"cursor":N}, not as a bare number: they were read as events without engines, so a tick one past the last event was taken for that event and the event itself then dropped as a repeat, a drain unheard; and 'command channel back' was never logged again after the first loss. Lines: run.go reload, roster.go event and follow. Ruled out: numbers that begin anew with a new configuration (they go on: 3 after 1 and 2). Change: events later than the last one taken are taken from the new configuration before the channel moves; a line with a number alone is a tick in either form; known.cursor no longer skips events that the file does not hold.

--- a/cmd/copperrock/crossing_test.go
+++ b/cmd/copperrock/crossing_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,3 +70,29 @@
 		})
 	}
 }
+
+// A new configuration comes while the command channel is out of reach, and knows of a drain that the channel has not told
+// yet: nothing new goes to that engine. What it knows from before is not taken twice.
+func TestReloadKnowsOfADrain(t *testing.T) {
+	x := testkit.New(t)
+	e, other := x.Listen("engine", ":0"), x.Listen("other", ":0")
+	c := begin(x, nil, e.Addr().String())
+	c.job(e, 1, "lookup")
+	c.channel.Close()
+	c.channel.Closes()
+	known := c.event(true, "in_service", e.Addr().String()) // told at the start, here as event 2
+	known = strings.Replace(known, `"cursor":2`, `"cursor":1`, 1)
+	whole := fmt.Sprintf(`{"listen":"127.0.0.1:1","limits":{"memory_mb":64,"sockets":256},"channel":"127.0.0.1:1","known":{"cursor":3,"cmds":[%s,%s,%s]},"settings":%s}`,
+		known, strings.Replace(c.event(false, "terminating", e.Addr().String()), `"cursor":3`, `"cursor":2`, 1),
+		strings.Replace(c.event(false, "in_service", "127.0.0.1:1", other.Addr().String()), `"s-0"`, `"s-7"`, 1), deployment)
+	whole = strings.Replace(whole, `"cursor":4`, `"cursor":3`, 1)
+	write2(t, c.file, []byte(whole))
+	c.hup <- syscall.SIGHUP
+	c.hup <- syscall.SIGHUP // the one before has been taken
+	c.client.Job(2, "lookup", 60000, "select 2")
+	other.Hears(1)
+	e.Answers(1, testkit.Ref(1), "data", "chunks=1", "a\tb\tc\n")
+	c.client.Answer()
+	e.Hears(1)
+	c.Check()
+}
--- a/cmd/copperrock/run.go
+++ b/cmd/copperrock/run.go
@@ -211,7 +211,7 @@
 	}
 	follow := &channel.Channel{Gate: ofChannel, Limits: s.Limits, Log: c.logs.Part("channel")}
 	follow.Turn(s.Channel)
-	if err := follow.Known(s.Cursor, s.Events); err != nil {
+	if err := follow.Known(s.Events); err != nil {
 		log.Warn().Err(err).Msg("known roster not taken")
 	}
 	g.SetReady(true)
@@ -258,6 +258,9 @@
 		differs("channel", s.Channel, next.Channel)
 	} else {
 		s.Channel = next.Channel
+		if err := follow.Known(next.Events); err != nil {
+			log.Warn().Err(err).Msg("known roster not taken")
+		}
 		follow.Turn(s.Channel)
 	}
 	log.Info().Str("channel", s.Channel).Strs("after_restart", later).Msg("configuration taken")
--- a/internal/members/channel/roster.go
+++ b/internal/members/channel/roster.go
@@ -29,21 +29,29 @@
 	address string
 	turn    context.CancelFunc // away from the connection under way
 
-	last int64 // the number of the last event taken
-	up   bool  // what it says is heard
+	taking sync.Mutex // one event at a time
+	last   int64      // the number of the last event taken
+	up     bool       // what it says is heard
 }
 
-// Known takes the events that the configuration holds.
-func (r *Channel) Known(cursor int64, events []json.RawMessage) error {
+// Known takes the events that the configuration holds, from the start or from a new one: those that have not come yet. A
+// channel that is silent or out of reach may be behind what a new configuration knows.
+func (r *Channel) Known(events []json.RawMessage) error {
 	for _, e := range events {
 		if _, err := r.event(e); err != nil {
 			return err
 		}
 	}
-	r.last = max(r.last, cursor)
 	return nil
 }
 
+// Last is the number of the last event taken.
+func (r *Channel) Last() int64 {
+	r.taking.Lock()
+	defer r.taking.Unlock()
+	return r.last
+}
+
 // Turn goes on with the channel at another address, from the last event taken.
 func (r *Channel) Turn(address string) {
 	r.mu.Lock()
@@ -66,7 +74,7 @@
 		err := r.follow(turn, address)
 		if turn.Err() == nil {
 			if r.up {
-				r.Log.Warn().Err(err).Int64("event", r.last).Msg("command channel lost")
+				r.Log.Warn().Err(err).Int64("event", r.Last()).Msg("command channel lost")
 			}
 			r.up = false
 			select {
@@ -92,7 +100,7 @@
 	defer context.AfterFunc(ctx, func() { peer.Close() })()
 	quiet := func() time.Time { return time.Now().Add(limits.Duration(r.Limits.ChannelQuiet)) }
 	peer.SetDeadline(quiet())
-	if _, err = fmt.Fprintf(peer, "resume %d\n", r.last); err != nil {
+	if _, err = fmt.Fprintf(peer, "resume %d\n", r.Last()); err != nil {
 		return err
 	}
 	lines := bufio.NewScanner(peer)
@@ -104,22 +112,20 @@
 		if len(line) == 0 {
 			continue
 		}
-		if tick, err := strconv.ParseInt(string(line), 10, 64); err == nil {
-			if tick > r.last {
-				return errGap
-			}
-			if !r.up {
-				r.Log.Info().Int64("event", r.last).Msg("command channel back")
-			}
-			r.up = true
-			continue
+		news, err := false, error(nil)
+		if n, ok := tick(line); !ok {
+			news, err = r.event(line)
+		} else if n > r.Last() {
+			err = errGap
 		}
-		news, err := r.event(line)
 		if err != nil { // it comes again: an older list would bring back what is past
 			return err
 		}
-		if news {
-			r.Log.Debug().Int64("event", r.last).Msg("roster changed")
+		if !r.up {
+			r.Log.Info().Int64("event", r.Last()).Msg("command channel back")
+		}
+		if r.up = true; news {
+			r.Log.Debug().Int64("event", r.Last()).Msg("roster changed")
 		}
 	}
 	return errors.Join(lines.Err(), errors.New("channel closed"))
@@ -133,8 +139,23 @@
 	return 0, nil, nil
 }
 
+// tick reads a line with a number alone, as text or as an object that holds nothing else.
+func tick(line []byte) (n int64, ok bool) {
+	if n, err := strconv.ParseInt(string(line), 10, 64); err == nil {
+		return n, true
+	}
+	var alone map[string]json.RawMessage
+	if len(line) > 64 || json.Unmarshal(line, &alone) != nil || len(alone) != 1 {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(string(alone["cursor"]), 10, 64)
+	return n, err == nil
+}
+
 // event takes one event; false for a repeat. Nothing of one that can't be used is taken.
 func (r *Channel) event(line []byte) (bool, error) {
+	r.taking.Lock()
+	defer r.taking.Unlock()
 	var e struct {
 		Cursor int64
 		Nodes  *struct {
--- a/internal/members/channel/roster_test.go
+++ b/internal/members/channel/roster_test.go
@@ -1,9 +1,12 @@
 package channel
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -41,7 +44,7 @@
 	lim := limits.For(64, 256)
 	lim.ChannelRetry, lim.ChannelQuiet = 0, 3600
 	r := &Channel{address: far.Addr().String(), Gate: l, Limits: lim, Log: zerolog.Nop()}
-	if err := r.Known(2, []json.RawMessage{json.RawMessage(event(1, true, "in_service")),
+	if err := r.Known([]json.RawMessage{json.RawMessage(event(1, true, "in_service")),
 		json.RawMessage(event(2, false, "terminating"))}); err != nil {
 		t.Fatal(err)
 	}
@@ -91,6 +94,53 @@
 	x.Check()
 }
 
+// A tick, as a number or as an object with a number alone, is no event: one past what is known tells that events are
+// missing, which come with the next connection; one that is not tells that the channel is heard.
+func TestTicks(t *testing.T) {
+	x := testkit.New(t)
+	far := x.Channel()
+	l := list{x, make(chan bool, 10)}
+	lim := limits.For(64, 256)
+	lim.ChannelRetry, lim.ChannelQuiet = 0, 3600
+	var logs lockedBuffer
+	r := &Channel{address: far.Addr().String(), Gate: l, Limits: lim, Log: zerolog.New(&logs)}
+	r.Known([]json.RawMessage{json.RawMessage(event(1, true, "in_service"))})
+	<-l.whole
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return r.Run(ctx) })
+	far.Accepts()
+	for _, text := range []string{`{"cursor":2}`, "2", `{"cursor": 7 }`} {
+		far.Tells(text)
+		far.Accepts()
+	}
+	far.Tells(`{"cursor":1}`)
+	far.Tells(event(2, false, "terminating")) // was not taken for told by the tick before it
+	<-l.whole
+	cancel()
+	group.Wait()
+	x.Say("told as back %d times, lost %d", strings.Count(logs.String(), "back"), strings.Count(logs.String(), "lost"))
+	x.Check()
+}
+
+// lockedBuffer is written by one goroutine and read by another.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func FuzzEvent(f *testing.F) {
 	f.Add([]byte(event(1, true, "in_service")))
 	f.Add([]byte(`{"cursor":1,"nodes":null}`))
