Dispatches fill connections that are up before a further one is opened

Change: of the connections that are up that with the fewest; up to three dispatches each before a further one is opened, and the one that fills it goes on one that is up. Without one that is up, as before. What ends a connection now ends up to three dispatches where it ended one.

--- a/internal/base/limits/limits.go
+++ b/internal/base/limits/limits.go
@@ -19,6 +19,7 @@
 	JobsPerConn int // open on one client connection
 	Jobs        int // open altogether
 	Queue       int // what waits to be written on one connection
+	Fill        int // dispatches on each of them before a further one is opened
 	Spread      int // connections to one engine, before they are filled
 	Left        int // dispatches ended but not done on one engine connection before it takes no more
 
@@ -83,6 +84,7 @@
 		JobsPerConn: 32,
 		Jobs:        int(min(max(memory/(32<<10), 64), 20000)), // a job costs two stacks and its statement
 		Queue:       256,
+		Fill:        3,
 		Spread:      8, // three gateways open 24 at an engine; a lost connection then costs a few dispatches
 		Left:        1000,
 
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -83,15 +83,15 @@
 	}
 }
 
-// bears tells whether a dispatch of the job may join, and how many there are. One of the job that ended here
+// bears tells whether a dispatch of the job may join, how many there are, and whether the connection is up. One of the job that ended here
 // before could be answered once more in its name; a connection silent since a give-up, or when asked for a sign of
 // life, may be cut off, which a new one will show.
-func (c *conn) bears(ref string) (open int, ok bool) {
+func (c *conn) bears(ref string) (open int, up, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, twice := c.calls[ref]
 	_, before := c.left[ref]
-	return len(c.calls), !c.closed && len(c.calls) < c.Settings.Streams && !twice && !before &&
+	return len(c.calls), c.peer != nil, !c.closed && len(c.calls) < c.Settings.Streams && !twice && !before &&
 		len(c.left) < c.Limits.Left && !c.quit.After(c.heard) && !c.asked.After(c.heard) && len(c.write) < cap(c.write)/2
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -102,26 +102,27 @@
 	return k
 }
 
-// pick finds the connection for a dispatch of the job: that with the fewest, or a new one while there are few. What
-// ends a connection then ends little else. nil where none may be had.
+// pick finds the connection for a dispatch of the job: of those that are up that with the fewest, or a new one while there
+// are few and each has its fill. What ends a connection then ends little else; yet each costs the engine a handshake, and
+// one that comes up late keeps a dispatch waiting that others would carry. nil where none may be had.
 func (e *Engine) pick(ref string) *conn {
 	if e.stopped.Load() {
 		return nil
 	}
 	var best *conn
-	least := 0
+	least, raised := 0, false
 	for _, c := range e.conns {
-		if open, ok := c.bears(ref); ok && (best == nil || open < least) {
-			best, least = c, open
+		if open, up, ok := c.bears(ref); ok && (best == nil || up && !raised || up == raised && open < least) {
+			best, least, raised = c, open, up
 		}
 	}
-	if best != nil && (least == 0 || len(e.conns) >= e.Limits.Spread || len(e.Slots) > cap(e.Slots)/2) {
+	if best != nil && (least == 0 || raised && least < e.Limits.Fill || len(e.conns) >= e.Limits.Spread || len(e.Slots) > cap(e.Slots)/2) {
 		return best
 	}
-	if c := e.open(); c != nil {
+	if c := e.open(); c != nil && !raised {
 		return c
 	}
-	return best
+	return best // the new one is for the next
 }
 
 // open opens a connection, nil where there is no descriptor left for it.
