One of few gateways that has just come back sends cold engines nothing for their window

Seen in virtual time: three modules that restart every 0.35 s while eight engines join cold under a burst send one of them up to 1.41 of what it bears within a window; 25 modules 0.75, 300 modules 0.33. With nothing else, one with most of the traffic, restarts in turn or at once it is 0.62 at most. Cause: withinCold goes by what this life has sent; a life before it may have used up the part that it begins anew with. With parts drawn anew by slots (over four gateways) a part is too small for that to matter. Ruled out: the hash's order (the same for each life), estimates (true in that play). Change: the first list a gateway hears starts a window in which cold engines get nothing from it, for up to four gateways. Harm: where all engines are cold and all gateways new at once, jobs wait for a window.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,6 +39,7 @@
 	part, wide, widened float64 // this gateway's of every engine; times that it may have while others leave it
 
 	past            []Past  // of the job that arrives
+	began           float64 // its first list
 	rested, chilled float64 // until when keys rest and cold engines get nothing, after a life not known
 
 	job    *job // what the rule that fires is about
@@ -78,8 +79,8 @@
 // New makes the module of one gateway.
 func New(seed uint64, set Settings, out Actions) *Brain {
 	b := &Brain{set: set, out: out, dice: dice{seed: seed}, roster: roster{engines: map[uint32]*engine{}},
-		jobs: map[uint32]*job{}, lines: keyLines{of: map[uint64]*keyLine{}}, overdue: newRing(1, 10), ends: math.Inf(1),
-		part: 1 / float64(set.Gateways), wide: 1}
+		jobs: map[uint32]*job{}, lines: keyLines{of: map[uint64]*keyLine{}}, overdue: newRing(1, 10),
+		ends: math.Inf(1), began: math.Inf(1), part: 1 / float64(set.Gateways), wide: 1}
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		// Until answers tell, a job is taken to need a third of its SLA time, at a pace near the best.
@@ -304,8 +305,11 @@
 // By a hash the first gateway has half of that, the second a quarter and so on: never more for any number.
 // Of many gateways most would have a part too small for any job, and the first more than it ever needs: for
 // them the order is drawn anew in each slot of the clock. A window meets two slots, so each has half.
+// What a life before this one sent in the window is not known: one of few gateways, which has a large part,
+// starts with nothing for them. That idles cold engines for a window; without it one that crashes again and
+// again overfilled them.
 func (b *Brain) withinCold(j *job, e *engine) bool {
-	if b.warmth(e) == 1 || b.now < b.chilled {
+	if b.warmth(e) == 1 || b.now < b.chilled || !b.rotates() && b.now < b.began+b.set.FallWindow {
 		return b.warmth(e) == 1
 	}
 	budget := b.set.FallMultiple * b.set.ColdFrom * b.set.Kinds[e.kind].Cores * b.set.FallWindow
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -305,6 +305,7 @@
 
 func TestColdBudgetIsParted(t *testing.T) {
 	x := start(t, Settings{Gateways: 2, Cold: 10, ColdFrom: 0.5, FallMultiple: 2, FallWindow: 1}, Class{})
+	x.began = -100
 	x.pass(1)
 	x.list(Whole, true, 1, 1)
 	for id := range uint32(4) {
@@ -903,3 +904,22 @@
 	x.pass(20)
 	x.check()
 }
+
+// One of few gateways that has just come back does not know what the life before it sent to a cold engine: nothing goes there
+// for the window, and its part after that. Warm engines serve from the start. One of many has a small part in any case.
+func TestColdEngineAfterARestart(t *testing.T) {
+	var lines []string
+	for _, gateways := range []int{2, 20} {
+		x := start(t, Settings{Gateways: gateways, Cold: 10, ColdFrom: 0.5, FallMultiple: 2, FallWindow: 1}, Class{})
+		x.pass(1)
+		x.say("one of %d gateways", gateways)
+		x.list(Whole, true, 0.9, 1)
+		x.arrive(1, 0, 0, 0.05, 100)
+		x.pass(1.5)
+		x.list(Changes, true, 0, 2)
+		x.arrive(2, 0, 0, 0.05, 100)
+		x.pass(4)
+		lines = append(lines, x.lines...)
+	}
+	testkit.Check(t, lines)
+}
--- a/brain/iface.go
+++ b/brain/iface.go
@@ -104,7 +104,7 @@
 
 // RosterBegins opens a roster message; Listed follows for each entry, then RosterEnds.
 func (b *Brain) RosterBegins(now float64, mode ListMode) {
-	b.now = now
+	b.now, b.began = now, min(b.began, now)
 	b.roster.begin(mode)
 }
 
--- a/brain/weights_test.go
+++ b/brain/weights_test.go
@@ -115,6 +115,7 @@
 	day := func(weight float64) []string {
 		x := start(t, Settings{MayCancel: true, MayCopy: true, Gateways: 3, Cold: 10, ColdFrom: 0.2, FallMultiple: 2, FallWindow: 1},
 			Class{}, Class{Effect: RunOnce, Load: true})
+		x.began = -100 // as one that has run for long
 		x.RosterBegins(0, Whole)
 		for id := range uint32(9) {
 			x.Listed(0, id+1, 0, 0, 0, true, weight, float64(id%4))
@@ -144,7 +145,7 @@
 // A cold engine's budget does not grow by its weight, and its share of memory shrinks by a smaller one.
 func TestWeightsAndLimits(t *testing.T) {
 	x := start(t, Settings{Cold: 10, ColdFrom: 0.2, FallMultiple: 2, FallWindow: 1, Gateways: 2}, Class{})
-	x.at = 1
+	x.at, x.began = 1, -100
 	for _, weights := range [][2]float64{{1, 1}, {10, 1}, {1, 10}} {
 		x.RosterBegins(x.at, Whole)
 		x.Listed(x.at, 1, 0, 0, 0, true, weights[0], 1)
--- a/internal/lab/spread/virtual.go
+++ b/internal/lab/spread/virtual.go
@@ -138,10 +138,9 @@
 	for i := range d.Controllers {
 		w := 0.3 + 0.7*p.exp(1)
 		weights, sum = append(weights, w), sum+w
-		c := &Controller{play: p, open: map[uint32]*task{}}
-		set := p.Set
-		set.Index, set.Zone = i, i%max(d.Zones, 1)
-		c.Brain = brain.New(p.Seed*1000+uint64(i), set, c)
+		c := &Controller{play: p, open: map[uint32]*task{}, set: p.Set}
+		c.set.Index, c.set.Zone = i, i%max(d.Zones, 1)
+		c.Brain = brain.New(p.Seed*1000+uint64(i), c.set, c)
 		p.Controllers = append(p.Controllers, c)
 		c.list(p.Engines)
 	}
@@ -269,6 +268,7 @@
 	bell int
 	Dead bool
 	Only func(e *Engine) bool // engines that it is told of, nil for all
+	set  brain.Settings
 }
 
 type task struct {
@@ -337,6 +337,19 @@
 	}
 }
 
+// Restart has the controller come back at once, knowing nothing of the past but the list; its clients ask elsewhere.
+func (c *Controller) Restart() {
+	for _, t := range c.open {
+		if !t.over {
+			c.refuse(t.id)
+		}
+	}
+	c.bell++
+	c.Brain = brain.New(c.play.counter, c.set, c)
+	c.play.draw()
+	c.list(c.play.Engines)
+}
+
 func (c *Controller) Dispatch(job, engine uint32, timeout float64) {
 	t := c.open[job]
 	e := c.play.Engines[engine-1]
--- a/internal/lab/spread/virtual_test.go
+++ b/internal/lab/spread/virtual_test.go
@@ -173,6 +173,55 @@
 	testkit.Check(t, lines)
 }
 
+// Cold engines bear what all controllers send them together, few or many: with a burst just then, with most of the traffic
+// at one, and with controllers that restart meanwhile, one after another or all at once, and know nothing of what they have
+// sent. The last figure of a line is the most that came within a window over what an engine bears.
+func TestColdEnginesBearTheFleet(t *testing.T) {
+	var lines []string
+	for _, n := range []int{3, 25, 300} {
+		for _, meanwhile := range []string{"nothing else", "most at one", "restarts in turn", "restarts at once", "each restarts many times"} {
+			d := Day{Controllers: n, Engines: 8, Work: 0.05, Load: 1.2, Seconds: 12, Set: cold, Half: meanwhile == "most at one"}
+			joins := func(p *Play) {
+				for i := range 8 {
+					p.Engine(8+i, 0)
+				}
+				p.Tell(0.5)
+			}
+			d.Events = []Event{{4, joins}}
+			again := func(at float64, of func(i int) bool) {
+				d.Events = append(d.Events, Event{at, func(p *Play) {
+					for i, c := range p.Controllers {
+						if of(i) {
+							c.Restart()
+						}
+					}
+				}})
+			}
+			switch meanwhile {
+			case "restarts in turn":
+				for k := range 30 {
+					again(4.2+0.1*float64(k), func(i int) bool { return i%30 == k })
+				}
+			case "restarts at once":
+				again(5, func(int) bool { return true })
+			case "each restarts many times":
+				for k := range 12 {
+					again(4.3+0.35*float64(k), func(int) bool { return true })
+				}
+			}
+			for seed := range uint64(3) {
+				d.Seed = seed + 1
+				f := d.Run()
+				lines = append(lines, fmt.Sprintf("%d controllers, %s, seed %d: cold %.2f", n, meanwhile, d.Seed, f.Cold))
+				if f.Cold > 1 || f.Cold == 0 {
+					t.Errorf("%d controllers, %s, seed %d: %v", n, meanwhile, d.Seed, f)
+				}
+			}
+		}
+	}
+	testkit.Check(t, lines)
+}
+
 // How busy each engine is over some of the days, drawn into the folder PLOTS: make fleet-plots.
 func TestPlots(t *testing.T) {
 	folder := os.Getenv("PLOTS")
