A connection that comes up late does not blame an engine that has just answered

Seen on zone+brink: a third of the connections come up after up to 1.5 s, the settings' time is 0.25 s, and each such dispatch counted as three failures: engines that answered others meanwhile were rested for 1 to 8 s. Lines: judge, NoConnection. Change: within a second of an answer a connection that does not come up counts as one failure. Guards against single connections lost in the making; could harm where a process dies right after an answer: it is then rested after two or three dispatches instead of one.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -712,8 +712,10 @@
 	case TimedOut: // but not when little time was left
 		e.ease = 1
 		bad = min(math.Floor(took/(3*d.run)), 1)
-	case NoConnection:
-		bad = 3 // the process is gone: nothing else would fail so
+	case NoConnection: // the process is gone, unless it has just answered: then that connection came up late
+		if bad = 3; e.heard > 0 && now < e.heard+1 {
+			bad = 1
+		}
 	}
 	if e.record.add(now, ok, bad); bad < 3 {
 		b.record.add(now, ok, bad)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -923,3 +923,44 @@
 	}
 	testkit.Check(t, lines)
 }
+
+// A connection that does not come up tells that an engine is gone, but not where it answered on another a moment ago: single
+// connections come up late. Where more do not, or it has been silent for a second, it is rested.
+func TestLateConnection(t *testing.T) {
+	var lates []string
+	for _, answered := range []bool{false, true} {
+		x := start(t, Settings{MayCancel: true}, Class{})
+		x.list(Whole, true, 0, 1, 2, 3)
+		doubted := func(e uint32) bool { return x.roster.engines[e].doubted }
+		for id := range uint32(30) {
+			x.arrive(id, 0, 0, 0.1, 10)
+		}
+		at := func(e uint32) (ids []uint32) {
+			for _, d := range x.roster.engines[e].live {
+				ids = append(ids, d.job.id)
+			}
+			return ids
+		}
+		ids := at(1)
+		x.pass(2)
+		for _, id := range append(at(2), at(3)...) {
+			x.Outcome(x.at, id, 0, Done, 0.5, true, 0.1, 10)
+		}
+		for _, id := range ids[:4] {
+			if answered {
+				x.Outcome(x.at, id, 0, Done, 0.5, true, 0.1, 10)
+			}
+		}
+		x.pass(2.5)
+		x.lines = nil
+		x.Outcome(x.at, ids[4], 0, NoConnection, 0.25, false, 0, 0)
+		once := doubted(1)
+		for _, id := range ids[5:] {
+			x.Outcome(x.at, id, 0, NoConnection, 0.25, false, 0, 0)
+		}
+		x.lines = nil
+		x.say("answered half a second ago %v: rested after one %v, after %d %v", answered, once, len(ids)-4, doubted(1))
+		lates = append(lates, x.lines...)
+	}
+	testkit.Check(t, lates)
+}
