Idle clients past the descriptors while discovery is down: a test on a real process

Need: the watch, the engines and the shutdown keep descriptors of their own, and a restarted process is ready while discovery is down. Change: TestCrowdWhileDiscoveryIsDown starts the program with 64 descriptors (ulimit), no channel, 100 idle clients; it is ready from its list, serves, takes a drain and a new engine once the channel is back, and ends on SIGTERM with its last answer.

--- a/cmd/copperrock/freeze_test.go
+++ b/cmd/copperrock/freeze_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,20 +21,7 @@
 		t.Run(meanwhile[:6], func(t *testing.T) {
 			x := testkit.New(t)
 			e, spare := x.Listen("engine", ":0"), x.Listen("spare", ":0")
-			c := &among{Trace: x, channel: x.Channel(), address: free(t), file: filepath.Join(t.TempDir(), "config.json")}
-			known := c.event(true, "in_service", e.Addr().String())
-			text := fmt.Sprintf(`{"listen":"%s","limits":{"memory_mb":64,"sockets":256},"channel":"%s","known":{"cursor":1,"cmds":[%s]},"settings":%s}`,
-				c.address, c.channel.Addr(), known, deployment)
-			write2(t, c.file, []byte(text))
-			self, err := os.Executable()
-			if err != nil {
-				t.Fatal(err)
-			}
-			p := &lab.Process{Name: "c0", Path: self, Env: []string{selfRun + "=1", "GOMAXPROCS=1", "LB_CONFIG=" + c.file}, Log: filepath.Join(t.TempDir(), "log")}
-			if err := p.Start(); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(p.Kill)
+			c, p := process(x, 256, x.Channel().Listener, e.Addr().String())
 			c.channel.Accepts()
 			first, second := x.Dial(c.address), x.Dial(c.address)
 			first.Job(1, "lookup", 50000, "select 1")
@@ -68,3 +58,77 @@
 		})
 	}
 }
+
+// process starts the program as the platform does, in a process of its own that may hold so many descriptors, with engines
+// that its configuration knows; its command channel is at the listener's address.
+func process(x *testkit.Trace, sockets int, channel net.Listener, engines ...string) (*among, *lab.Process) {
+	t := x.T
+	c := &among{Trace: x, channel: &testkit.Channel{Trace: x, Listener: channel}, address: free(t), file: filepath.Join(t.TempDir(), "config.json")}
+	write2(t, c.file, fmt.Appendf(nil, `{"listen":"%s","limits":{"memory_mb":64,"sockets":%d},"channel":"%s","known":{"cursor":1,"cmds":[%s]},"settings":%s}`,
+		c.address, sockets, channel.Addr(), c.event(true, "in_service", engines...), deployment))
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &lab.Process{Name: "c0", Path: "/bin/sh", Args: []string{"-c", fmt.Sprintf("ulimit -n %d && exec %s", sockets, self)},
+		Env: []string{selfRun + "=1", "GOMAXPROCS=1", "LB_CONFIG=" + c.file}, Log: filepath.Join(t.TempDir(), "log")}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Kill)
+	return c, p
+}
+
+// Discovery is down when a controller starts: it is ready from the list in its configuration. Idle clients then come in
+// numbers past its descriptors; the watch, the engines and the shutdown have their own, and once discovery is back its news
+// is taken.
+func TestCrowdWhileDiscoveryIsDown(t *testing.T) {
+	x := testkit.New(t)
+	e, later := x.Listen("engine", ":0"), x.Listen("later", ":0")
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := held.Addr().String()
+	held.Close()
+	c, p := process(x, 64, held, e.Addr().String())
+	c.client = x.Dial(c.address)
+	for !c.pings() {
+	}
+	x.Say("ready")
+	for range 100 {
+		idle, err := net.Dial("tcp", c.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { idle.Close() })
+	}
+	c.client = x.Dial(c.address) // let in once an idle one has given way
+	c.job(e, 1, "lookup")
+	e.Answers(1, testkit.Ref(1), "data", "chunks=1", "a\tb\tc\n")
+	c.client.Answer()
+	back, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { back.Close() })
+	c.channel = &testkit.Channel{Trace: x, Listener: back}
+	c.channel.Accepts()
+	c.channel.Tells(c.event(false, "terminating", e.Addr().String()))
+	c.channel.Tells(strings.Replace(c.event(false, "in_service", later.Addr().String()), `"s-0"`, `"s-9"`, 1))
+	e.Hears(1)
+	c.job(later, 2, "lookup")
+	p.Leaves()
+	later.Answers(1, testkit.Ref(2), "data", "chunks=1", "a\tb\tc\n")
+	c.client.Answer()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	x.Say("ended: %v", p.Leave(ctx))
+	x.Check()
+}
+
+// pings tells whether the controller takes jobs.
+func (c *among) pings() bool {
+	c.client.Send(0, 98, "ping", []any{map[string]string{}})
+	return c.client.Pong()
+}
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -89,6 +89,9 @@
 // Reload has it read its settings again.
 func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
 
+// Leaves asks it to end.
+func (p *Process) Leaves() { p.signal(syscall.SIGTERM) }
+
 // Leave asks it to end and waits for that, or kills it once ctx ends.
 func (p *Process) Leave(ctx context.Context) error {
 	p.Thaw()
