--- a/internal/engine/crossing_test.go
+++ b/internal/engine/crossing_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"copperrock.example/copperrock/internal/lab/standin"
 )
@@ -100,3 +101,18 @@
 		})
 	}
 }
+
+// A dispatch is being written and does not go, for its engine takes no bytes; meanwhile the engine may have begun to drain.
+// Its first byte goes within the drain's grace or never: the connection ends by then, and with it all that is on it.
+func TestWriteThatDoesNotGo(t *testing.T) {
+	r := start(t)
+	r.Engine.Settings.Drain = 0.05
+	far := heldUp(r)
+	k := r.ask(1)
+	away := <-far
+	began := time.Now()
+	r.ends(k)
+	_, err := standin.Command(bufio.NewReader(away))
+	r.Say("within ten times the grace %v, read afterwards: %v", time.Since(began) < time.Second/2, err)
+	r.Check()
+}
