--- a/internal/base/limits/limits.go
+++ b/internal/base/limits/limits.go
@@ -97,7 +97,7 @@
 		Page:    6000,
 		Pages:   64,
 		Result:  48000,
-		Line:    1 << 20,
+		Line:    int(min(memory/16, 4<<20)), // a whole list of that many engines
 		Engines: 10000,
 
 		Allow: 86400,
