A keyed job's repeat is written within its window or never

Found by reading: the module decides on a repeat up to 0.1 s before the window's end, but its connection may take up to the settings' time to come up (0.25 s) and the write up to a second more. Change: a keyed dispatch carries the end of the window, counted from the first dispatch of the job that may have run, of this life or one before; past it nothing goes, and the job is told as never run by that dispatch.

--- a/cmd/copperrock/crossing_test.go
+++ b/cmd/copperrock/crossing_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -96,3 +99,30 @@
 	e.Hears(1)
 	c.Check()
 }
+
+// A keyed job may go again within its window; the connection for it comes up only after that. It is not sent, and its client
+// is told to come back.
+func TestWindowEndsBeforeTheConnectionIsUp(t *testing.T) {
+	x := testkit.New(t)
+	e := x.Listen("engine", ":0")
+	keyed := strings.NewReplacer(`"name":"load"`, `"name":"load","group":"all","window":0.5`, `"repeat":"side_effect"`, `"repeat":"token"`).Replace(deployment)
+	up := make(chan struct{})
+	var dials atomic.Int32
+	c := beginDial(x, keyed, nil, func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dials.Add(1) == 2 {
+			<-up
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}, e.Addr().String())
+	c.client.Job(1, "load", 60000, "insert 1")
+	e.Hears(1)
+	began := time.Now()
+	e.Answers(1, testkit.Ref(1), "failed", "-", "")
+	for time.Since(began) < 600*time.Millisecond { // the window passes
+		time.Sleep(time.Millisecond)
+	}
+	close(up)
+	c.client.Answer()
+	x.Say("%d connections, heard after the first: %d", dials.Load(), e.Heard())
+	c.Check()
+}
--- a/cmd/copperrock/main_test.go
+++ b/cmd/copperrock/main_test.go
@@ -80,6 +80,13 @@
 }
 
 func beginWith(x *testkit.Trace, deployment string, lim func(*limits.Limits), engines ...string) *among {
+	return beginDial(x, deployment, lim, nil, engines...)
+}
+
+// dialer opens connections to engines.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+func beginDial(x *testkit.Trace, deployment string, lim func(*limits.Limits), dial dialer, engines ...string) *among {
 	t := x.T
 	c := &among{Trace: x, channel: x.Channel(), hup: make(chan os.Signal),
 		file: filepath.Join(t.TempDir(), "config.json")}
@@ -106,7 +113,7 @@
 	whole.Limits = limit
 	one := &controller{settings: whole, again: func() (*operator.Settings, error) { return read("", c.file) }, listener: l,
 		logs: logging.New(io.Discard, whole.Log, time.Now), hup: c.hup,
-		spied: func(g *gateway.Gateway, _ *buffer.Pool, _ *client.Server) { c.gateway = g }}
+		spied: func(g *gateway.Gateway, _ *buffer.Pool, _ *client.Server) { c.gateway, g.Dial = g, dial }}
 	c.ended.Go(func() error { return one.run(term) })
 	t.Cleanup(func() {
 		cancel()
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -457,7 +457,7 @@
 	case k.state != waiting:
 		c.mu.Unlock()
 		return
-	case left < 1:
+	case left < 1, !k.by.IsZero() && time.Now().After(k.by):
 		k.end(brain.Moot)
 		c.mu.Unlock()
 		return
--- a/internal/engine/crossing_test.go
+++ b/internal/engine/crossing_test.go
@@ -62,7 +62,7 @@
 // A connection comes up only after the job's client has left, or after its engine has begun to drain: nothing of the job
 // goes on it.
 func TestConnectionComesUpLate(t *testing.T) {
-	for _, first := range []string{"held back", "given up", "drained", "gone", "time up"} {
+	for _, first := range []string{"held back", "given up", "drained", "gone", "time up", "window over"} {
 		t.Run(first, func(t *testing.T) {
 			r := start(t)
 			up := make(chan struct{})
@@ -70,7 +70,13 @@
 				<-up
 				return (&net.Dialer{}).DialContext(ctx, network, address)
 			}
+			if first == "window over" {
+				r.by = time.Now().Add(time.Millisecond)
+			}
 			k := r.ask(1)
+			for time.Now().Before(r.by) {
+			}
+			r.by = time.Time{}
 			switch first {
 			case "held back":
 				k.HoldBack()
@@ -87,7 +93,7 @@
 			}
 			close(up)
 			switch first {
-			case "time up":
+			case "time up", "window over":
 				r.ends(k)
 			case "drained", "gone": // the connection ends with nothing on it
 				r.far.Hears(1)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,6 +52,7 @@
 	ref, class  string
 	statement   *buffer.Chain
 	until       time.Time
+	by          time.Time // its first byte goes by then or never; zero for no such time
 	grant       float64
 	priority    int
 	fence       string
@@ -80,11 +81,12 @@
 
 // Ask dispatches a job that will run for so many seconds, 0 where that is not known. The statement is held until it
 // is written. fence goes along where engines take one, and the idempotency key that the client gave; "" for none. news
-// takes notes of progress on the dispatch: 1 the share done, 2 memory that it lacks in MB, 3 that it waits.
-func (e *Engine) Ask(ref, class string, statement *buffer.Chain, until time.Time, grant float64,
+// takes notes of progress on the dispatch: 1 the share done, 2 memory that it lacks in MB, 3 that it waits. Its first byte
+// goes by the time by or never, which is zero where that does not matter.
+func (e *Engine) Ask(ref, class string, statement *buffer.Chain, until, by time.Time, grant float64,
 	priority int, run float64, fence, idempotency string, news func(topic int, amount float64)) *Call {
 	const over = 2 // times the estimated run: engines are shared, and estimates lie that far off
-	k := &Call{ref: ref, class: class, statement: statement, until: until, grant: grant, priority: priority, fence: fence,
+	k := &Call{ref: ref, class: class, statement: statement, until: until, by: by, grant: grant, priority: priority, fence: fence,
 		idempotency: idempotency, news: news, left: make(chan struct{}),
 		due: time.Now().Add(limits.Duration(over * run)), step: make(chan struct{}, 2), status: brain.NoConnection}
 	e.mu.Lock()
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -29,6 +29,7 @@
 	text *buffer.Chain
 	end  context.CancelFunc
 	told chan string
+	by   time.Time // of dispatches asked for
 }
 
 func start(t *testing.T) *rig {
@@ -55,7 +56,7 @@
 }
 
 func (r *rig) ask(id int) *Call {
-	return r.Ask(testkit.Ref(id), "report", r.text, time.Now().Add(time.Hour), 96.2, 3, 0, "", "", r.news)
+	return r.Ask(testkit.Ref(id), "report", r.text, time.Now().Add(time.Hour), r.by, 96.2, 3, 0, "", "", r.news)
 }
 
 func (r *rig) news(topic int, amount float64) { r.told <- fmt.Sprintf("news %d: %g", topic, amount) }
@@ -260,7 +261,7 @@
 func TestNoSignOfLifeBeforeItIsDue(t *testing.T) {
 	r := start(t)
 	r.Limits.EngineQuiet, r.Limits.EngineQuietest = 0.02, 3600
-	long := r.Ask(testkit.Ref(1), "report", r.text, time.Now().Add(time.Hour), 96.2, 3, 1800, "", "", r.news)
+	long := r.Ask(testkit.Ref(1), "report", r.text, time.Now().Add(time.Hour), r.by, 96.2, 3, 1800, "", "", r.news)
 	r.far.Hears(1)
 	r.Engine.mu.Lock()
 	c := r.Engine.conns[0]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"net"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -31,6 +32,9 @@
 
 // Gateway is one controller.
 type Gateway struct {
+	// Dial opens connections to engines, nil for the usual way. It is set before Run.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	settings *settings.Settings
 	limits   limits.Limits
 	pool     *buffer.Pool
@@ -326,6 +330,8 @@
 	type dispatched struct {
 		*engine.Call
 		giveUp context.CancelFunc
+		at     float64
+		never  bool // ran, as its end has told
 	}
 	calls := make([]dispatched, 0, most)
 	over := false
@@ -391,8 +397,23 @@
 				news := func(topic int, amount float64) {
 					g.enter(func(now float64) { g.brain.Progress(now, j.id, s.number, topic, amount) })
 				}
-				call := s.process.Ask(ref, class, text, until, s.grant, s.priority, work/g.settings.Brain.Classes[number].Threads, fence, idempotency, news)
-				calls = append(calls, dispatched{call, cancel})
+				// A keyed job goes again within its window, also where a connection comes up late: counted from the
+				// first dispatch that may have run.
+				first, by := math.Inf(1), time.Time{}
+				for _, p := range before {
+					first = min(first, p.At)
+				}
+				for _, earlier := range calls {
+					if !earlier.never {
+						first = min(first, earlier.at)
+					}
+				}
+				if c := g.settings.Brain.Classes[number]; c.Effect == brain.Keyed && !math.IsInf(first, 1) {
+					by = g.at(first + c.Window)
+				}
+				at := len(calls)
+				call := s.process.Ask(ref, class, text, until, by, s.grant, s.priority, work/g.settings.Brain.Classes[number].Threads, fence, idempotency, news)
+				calls = append(calls, dispatched{call, cancel, began, false})
 				g.group.Go(func() error {
 					status, whole, ran := call.Wait(ctx)
 					if status == brain.Done && !whole { // Paged.
@@ -417,6 +438,7 @@
 						if kept != nil {
 							kept.ends(s.number-len(before), status)
 						}
+						calls[at].never = status == brain.Full || status == brain.NoConnection || status == brain.Moot
 						// Answered.
 						if status == brain.Done && !over {
 							end(func() { to.Done(call.Rows()) })
@@ -560,7 +582,7 @@
 	case e.ready && (moved || e.process == nil):
 		e.address, e.born = m.Address, m.Born
 		process := &engine.Engine{Address: m.Address, Settings: g.settings, Limits: g.limits, Pool: g.pool,
-			Log: g.log, Group: g.group, Context: g.ctx, Slots: g.slots, Spares: g.spares}
+			Log: g.log, Group: g.group, Context: g.ctx, Slots: g.slots, Spares: g.spares, Dial: g.Dial}
 		process.Told = func(load settings.Load) {
 			g.enter(func(now float64) {
 				if e.process == process {
