A call-off no longer costs its connection; one that may be cut off ends when it is empty

Followed on one controller: nine connections up at an engine and none that takes a dispatch; a tenth is opened every 0.2 s, is answered full and closed within 6 ms: the engine takes no more. Lines: bears refuses a connection that has not been heard since a give-up; with nothing open on it, it never is heard, and stays so until the idle time (24 s there). Progress notes call more dispatches off, and clients that leave do. Ruled out: descriptors (139 of 576), the engines' memory, spoilt answers (8 connections). Change: a dispatch called off before it is overdue tells nothing of its connection, which stays in use; after one that is, as before, nothing new goes there, and the connection ends once nothing is open on it. TestConnectionAfterACallOff fails before; 30 times under race.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -315,12 +315,20 @@
 		return true, false
 	}
 	c.left[k.ref] = struct{}{}
-	c.quit = time.Now()
+	if now := time.Now(); now.After(k.due) { // else it tells nothing of the connection
+		c.quit = now
+	}
 	if was == paged {
 		c.put(line{words: []string{"FREE", k.ref}, gone: k.left})
 	} else {
 		c.put(line{words: []string{"QUIT", k.ref}, gone: k.left})
 	}
+	// One that takes nothing more, and on which nothing is open from which it could be heard again, is of no use. Each that
+	// stayed had a further one opened, until the engine took no more.
+	if c.quit.After(c.heard) && !c.closed && len(c.calls) == 0 && len(c.probes) == 0 {
+		c.yields = true
+		c.timer.Reset(brief)
+	}
 	return true, true
 }
 
--- a/internal/engine/crossing_test.go
+++ b/internal/engine/crossing_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"copperrock.example/copperrock/internal/lab/standin"
+	"copperrock.example/copperrock/internal/lab/testkit"
 )
 
 // heldUp is a connection whose far end the test reads itself: nothing that is written goes until then.
@@ -122,3 +123,20 @@
 	r.Say("within ten times the grace %v, read afterwards: %v", time.Since(began) < time.Second/2, err)
 	r.Check()
 }
+
+// A dispatch that is called off before it is due tells nothing of its connection, which goes on carrying others. One called
+// off after that may have been cut off: nothing new goes there, and with nothing open on it the connection ends.
+func TestConnectionAfterACallOff(t *testing.T) {
+	r := start(t)
+	long := r.Ask(testkit.Ref(1), "report", r.text, time.Now().Add(time.Hour), r.by, 96.2, 3, 1800, "", "", r.news)
+	r.far.Hears(1)
+	r.givesUp(long)
+	r.far.Hears(1)
+	late := r.ask(2) // on the same one; it is due at once
+	r.far.Hears(1)
+	r.givesUp(late)
+	r.far.Hears(2)
+	r.ask(3)
+	r.far.Hears(1)
+	r.Check()
+}
