The name of a log segment that a killed process left is synced at the opening

What callers saw: a request under an idempotency key that was recorded and answered after a restart is unknown after a power cut, so a repeat of a non-idempotent one would run again. Cause: startSegment syncs the file, then its directory; a process killed between the two leaves a file without a name on the disk. reopenSegment synced the bytes, not the directory, and all that was appended hung on that name. Evidence: TestKilledThenCrashedLater on the code before: 'killed at 3, crashed 5 later: 1 record was waited for, none is there'; operation 3 is the sync of the first header. With the directory sync the 1,800 pairs pass. Cost: one directory sync at each start with a store.

--- a/internal/storage/wal/log.go
+++ b/internal/storage/wal/log.go
@@ -70,30 +70,39 @@
 
 // reopenSegment cuts the last segment where it is complete and appends to it from there.
 func (l *Log) reopenSegment(number uint64, end fileEnd) {
-	file, err := l.dir.Append(segmentName(number), end.complete)
+	file, err := l.openSynced(segmentName(number), end.complete)
 	if err != nil {
 		return
 	}
-	l.segment.file = file
-	if err := file.Sync(); err != nil {
-		l.segment.close()
-		return
-	}
-	l.segment.size, l.segment.frames = end.complete, end.frames
+	l.segment = frameWriter{file: file, frames: end.frames, size: end.complete}
 	l.err = nil
 }
 
 // syncExisting has a file that is there on the disk, with its name.
 func (l *Log) syncExisting(name string, size int64) error {
-	file, err := l.dir.Append(name, size)
+	file, err := l.openSynced(name, size)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = file.Close() }() // nothing was written to it
-	if err := file.Sync(); err != nil {
-		return err
+	return file.Close()
+}
+
+// openSynced opens a file that an earlier process made, cut to a size in bytes, and has it on the disk, with its name: a
+// process that was killed may have synced neither.
+func (l *Log) openSynced(name string, size int64) (vfs.File, error) {
+	file, err := l.dir.Append(name, size)
+	if err != nil {
+		return nil, err
 	}
-	return l.dir.Sync()
+	err = file.Sync()
+	if err == nil {
+		err = l.dir.Sync()
+	}
+	if err != nil {
+		_ = file.Close() // nothing was written to it
+		return nil, err
+	}
+	return file, nil
 }
 
 // startSegment ends the current segment and starts the next one.
