A shard that was lost is not taken again from an answer that may be older than the loss (D1)

What callers saw: two controllers own one shard for the rest of a lease: double health checks, and second effects at engines that check no fencing token. Cause: two lease requests overtake each other on their way to the leader; the answer to the earlier one, made after the shard was released, arrives first and the owner forgets the shard with its token; the answer to the later one, made before, then counts and its old token is taken for a new assignment. Evidence: TestAtMostOneOwnerRequestsOvertake on the code before: 'D1: at 7.648 c2.1 and c3.1 both hold slice 5 of jobs'; the new TestOwnerAnswersOutOfOrder, which plays the steps at the owner alone, failed before: 'asked at 0.97, before the loss: gained, owned true'. Why it works: the owner remembers the token under which a shard was lost, and when. Under that token only the answer to a request made since counts; it was confirmed by a quorum since, so what it names holds.

--- a/internal/fleet/assignment/assignment_test.go
+++ b/internal/fleet/assignment/assignment_test.go
@@ -141,6 +141,70 @@
 	testutil.CheckTrace(t, lines)
 }
 
+// Answers that arrive in another order than the leader made them: a shard that was lost is not taken up again from an answer
+// that may be older than the loss (D1), and comes back, with its work in progress, by one that can't be (D4).
+func TestOwnerAnswersOutOfOrder(t *testing.T) {
+	const now, expiresAt = 1.0, 9.0
+	id := ShardID{"jobs", 1}
+	named := []Assignment{{id, 5, false}}
+	newOwner := func() *Owner {
+		o := NewOwner(0.1, 0.25)
+		o.Update(now, 0.9, expiresAt, named)
+		return o
+	}
+	owns := func(o *Owner) bool { return o.Owns(now+0.1, id, 5) }
+
+	o := newOwner()
+	fence, begun := o.Begin(now, id)
+	changes := o.Update(now+0.1, 0.95, expiresAt, nil)
+	if !begun || len(changes) != 1 || changes[0].Kind != ShardLost || owns(o) {
+		t.Fatalf("begun %v; not named any more: %v, owned %v", begun, changes, owns(o))
+	}
+	for _, requestedAt := range []float64{0.97, now + 0.1} { // made before the loss, or in the same moment
+		if changes := o.Update(now+0.1, requestedAt, expiresAt, named); len(changes) > 0 || owns(o) {
+			t.Errorf("asked at %g, before the loss: %v, owned %v", requestedAt, changes, owns(o))
+		}
+	}
+	o.Update(now+0.2, now+0.15, expiresAt, []Assignment{{id, 4, false}})
+	if _, has := o.Fence(id); has {
+		t.Error("an earlier fencing token was taken")
+	}
+	changes = o.Update(now+0.2, now+0.15, expiresAt, named)
+	if len(changes) != 1 || changes[0].Kind != ShardGained || !o.Owns(now+0.2, id, 5) {
+		t.Errorf("asked after the loss: %v", changes)
+	}
+	o.Update(now+0.2, now+0.16, expiresAt, []Assignment{{id, 5, true}})
+	if returned := o.Returned(); len(returned) > 0 {
+		t.Errorf("returned with work in progress: %v", returned)
+	}
+	o.End(id, fence)
+	if returned := o.Returned(); len(returned) != 1 {
+		t.Errorf("not returned once the work has ended: %v", returned)
+	}
+
+	// One that was returned stays returned, and one under a later fencing token is another assignment.
+	o.Update(now+0.2, now+0.17, expiresAt, nil)
+	o.Update(now+0.25, now+0.22, expiresAt, []Assignment{{id, 5, true}})
+	if returned := o.Returned(); len(returned) != 1 || o.Owns(now+0.25, id, 5) {
+		t.Errorf("returned before, lost and named again: %v", returned)
+	}
+	o.Update(now+0.3, now+0.26, expiresAt, nil)
+	o.Update(now+0.3, now+0.2, expiresAt, []Assignment{{id, 8, false}})
+	if _, ok := o.CanBegin(now+0.3, id); !ok {
+		t.Error("a later assignment was not taken")
+	}
+
+	// What ends while its shard is lost is over when it comes back.
+	o = newOwner()
+	fence, _ = o.Begin(now, id)
+	o.Update(now+0.1, 0.95, expiresAt, nil)
+	o.End(id, fence)
+	o.Update(now+0.2, now+0.15, expiresAt, []Assignment{{id, 5, true}})
+	if returned := o.Returned(); len(returned) != 1 {
+		t.Errorf("ended while it was lost: %v", returned)
+	}
+}
+
 // Runs: on time, late by each of the ways, one longer than its interval, one that may have run, one that did not.
 func TestNextActions(t *testing.T) {
 	var lines []string
--- a/internal/fleet/assignment/owner.go
+++ b/internal/fleet/assignment/owner.go
@@ -37,7 +37,8 @@
 	safetyMargin    float64 // before the lease expires nothing is begun any more
 	maxHeartbeatGap float64 // a longer gap between heartbeats is a stall
 	shards          map[ShardID]*ownedShard
-	expiresAt       float64 // minus infinity without a lease
+	lost            map[ShardID]lostShard // what later answers did not name any more
+	expiresAt       float64               // minus infinity without a lease
 	lastHeartbeat   float64
 	stalledAt       float64 // end of the latest stall
 }
@@ -49,6 +50,13 @@
 	returned   bool // the leader is told that it is returned; nothing is begun in it any more
 }
 
+// lostShard is a shard that an answer did not name, as it was then. Requests may overtake each other on their way to the
+// leader, so an answer that comes later may have been made earlier and still name it.
+type lostShard struct {
+	*ownedShard
+	at float64
+}
+
 // NewOwner starts without shards. An owner stops safetyMargin before its lease expires, and after a gap between heartbeats
 // longer than maxHeartbeatGap; both are seconds.
 func NewOwner(safetyMargin, maxHeartbeatGap float64) *Owner {
@@ -57,6 +65,7 @@
 		safetyMargin:    safetyMargin,
 		maxHeartbeatGap: maxHeartbeatGap,
 		shards:          map[ShardID]*ownedShard{},
+		lost:            map[ShardID]lostShard{},
 		expiresAt:       never,
 		lastHeartbeat:   never,
 		stalledAt:       never,
@@ -85,11 +94,12 @@
 	named := map[ShardID]bool{}
 	for _, assigned := range assignments {
 		named[assigned.ShardID] = true
-		changes = append(changes, o.updateShard(assigned)...)
+		changes = append(changes, o.updateShard(requestedAt, assigned)...)
 	}
 	for id, shard := range o.shards {
 		if !named[id] {
 			delete(o.shards, id)
+			o.lost[id] = lostShard{shard, now}
 			changes = append(changes, Change{ShardLost, shard.Assignment})
 		}
 	}
@@ -98,18 +108,14 @@
 
 // updateShard takes one assignment. A higher fencing token is a new assignment, also of a shard that was lost and assigned
 // again between two answers; a lower one is an older answer's.
-func (o *Owner) updateShard(assigned Assignment) (changes []Change) {
+func (o *Owner) updateShard(requestedAt float64, assigned Assignment) (changes []Change) {
 	shard := o.shards[assigned.ShardID]
 	switch {
-	case shard == nil || assigned.Fence > shard.Fence:
-		if shard != nil {
-			changes = append(changes, Change{ShardLost, shard.Assignment})
-		}
-		o.shards[assigned.ShardID] = &ownedShard{Assignment: assigned}
-		changes = append(changes, Change{ShardGained, assigned})
-		if assigned.Recalled {
-			changes = append(changes, Change{ShardRecalled, assigned})
-		}
+	case shard == nil:
+		return o.gainShard(requestedAt, assigned)
+	case assigned.Fence > shard.Fence:
+		changes = append(changes, Change{ShardLost, shard.Assignment})
+		return append(changes, o.addShard(&ownedShard{Assignment: assigned})...)
 	case assigned.Fence < shard.Fence:
 	case assigned.Recalled && !shard.Recalled:
 		shard.Recalled = true
@@ -118,6 +124,34 @@
 	return changes
 }
 
+// gainShard takes an assignment of a shard that this controller does not have. Under the fencing token under which the
+// shard was lost it counts only where it answers a request made since: that answer was made later than the one that did
+// not name the shard, an answer to an earlier request may not have been. The shard is then as it was, with what is still
+// in progress in it.
+func (o *Owner) gainShard(requestedAt float64, assigned Assignment) (changes []Change) {
+	lost, wasLost := o.lost[assigned.ShardID]
+	if !wasLost || assigned.Fence > lost.Fence {
+		delete(o.lost, assigned.ShardID)
+		return o.addShard(&ownedShard{Assignment: assigned})
+	}
+	if assigned.Fence < lost.Fence || requestedAt <= lost.at {
+		return nil
+	}
+	delete(o.lost, assigned.ShardID)
+	lost.Recalled = lost.Recalled || assigned.Recalled
+	return o.addShard(lost.ownedShard)
+}
+
+// addShard adds a shard to those that this controller has.
+func (o *Owner) addShard(shard *ownedShard) (changes []Change) {
+	o.shards[shard.ShardID] = shard
+	changes = append(changes, Change{ShardGained, shard.Assignment})
+	if shard.Recalled {
+		changes = append(changes, Change{ShardRecalled, shard.Assignment})
+	}
+	return changes
+}
+
 // leaseValid tells whether work may be begun or continued now.
 func (o *Owner) leaseValid(now float64) bool {
 	return now < o.expiresAt-o.safetyMargin && now <= o.lastHeartbeat+o.maxHeartbeatGap
@@ -158,7 +192,11 @@
 
 // End tells that work which Begin counted is over.
 func (o *Owner) End(id ShardID, fence uint64) {
-	if shard := o.shards[id]; shard != nil && shard.Fence == fence && shard.inProgress > 0 {
+	shard := o.shards[id]
+	if shard == nil {
+		shard = o.lost[id].ownedShard
+	}
+	if shard != nil && shard.Fence == fence && shard.inProgress > 0 {
 		shard.inProgress--
 	}
 }
