An override or list from an older response is not passed on after a later one

What callers would have seen: a drain that was ended comes back at one controller for good, or one that was ordered is undone there and it goes on sending to the engine. Cause: notifyWorker applied every override of a response that counted; of two responses that arrive in another order than the leader made them the second may hold the earlier state, and its number had been counted already. Evidence: TestOverridesAndListsOutOfOrder on the code before: 'drain of e1, revoked true', then 'revoked false'; the list's version was reported as 3 after 4. Why it works: numbers and versions rise over the replicated state; only later ones are passed on, and a response holds all that is later than its request names, so none is missed. Result: the test passes; tests of internal/fleet pass.

--- a/internal/fleet/work.go
+++ b/internal/fleet/work.go
@@ -71,20 +71,42 @@
 	}
 	m.worker.ScheduledJobs(response.ScheduledJobs)
 	m.worker.SetWidelyRead(response.WidelyRead)
-	for _, override := range response.Overrides {
+	for _, override := range m.newOverrides(response.Overrides) {
 		m.worker.ApplyOverride(override)
-		m.mu.Lock()
-		m.appliedOverride = max(m.appliedOverride, override.Number)
-		m.mu.Unlock()
 	}
-	for _, list := range response.Lists {
+	for _, list := range m.newLists(response.Lists) {
 		m.worker.ListPublished(list.Name, list.Fence, list.Version, list.Data)
-		m.mu.Lock()
-		m.listVersions[list.Name] = list.Version
-		m.mu.Unlock()
 	}
 }
 
+// newOverrides gives the overrides that are later than all that were passed on before, and counts them as passed on. A
+// response that arrives after a later one may have been made before it, and have overrides that hold no more.
+func (m *Member) newOverrides(overrides []state.Override) (later []state.Override) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	applied := m.appliedOverride
+	for _, override := range overrides {
+		if override.Number > applied {
+			later = append(later, override)
+			m.appliedOverride = max(m.appliedOverride, override.Number)
+		}
+	}
+	return later
+}
+
+// newLists gives the lists of a later version than was passed on before, and counts them as passed on.
+func (m *Member) newLists(lists []consensus.PublishedList) (later []consensus.PublishedList) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, list := range lists {
+		if list.Version > m.listVersions[list.Name] {
+			later = append(later, list)
+			m.listVersions[list.Name] = list.Version
+		}
+	}
+	return later
+}
+
 // heartbeat tells the owner's side that the controller runs.
 func (m *Member) heartbeat() {
 	m.mu.Lock()
