Each attempt counts against a budget, hedged ones too, and a cancelled one until it was heard

Cause: the scheduler booked a request once, however many attempts were in flight; and a cancelled attempt's room was given away as soon as its cancel stood in the queue, but for deployments that never hedge. Evidence: the tests now list what was in use at the peak. Why it works: attempts are booked one by one; the admission controller asks for room before an attempt beside another; where a budget bounds memory a cancel is awaited as where nothing may run twice. Without budgets nothing changes.

--- a/admission/events.go
+++ b/admission/events.go
@@ -15,6 +15,10 @@
 	// PastAttempts were started by an earlier process of this gateway and may have run. The rules for retries hold for
 	// the request from the first of them on.
 	PastAttempts []PastAttempt
+
+	// MayRunBeside is asked before an attempt is started beside others of the request that are in flight: a budget outside
+	// of this package may have no room for it. nil for always. It must not call the Controller.
+	MayRunBeside func() bool
 }
 
 // PastAttempt is an attempt that an earlier process of this gateway started and that may have run. Of its engine only what
--- a/admission/hedge.go
+++ b/admission/hedge.go
@@ -33,6 +33,12 @@
 		c.now > a.startedAt+lagFactor*max(a.expectedDuration, r.class.meanWork)
 }
 
+// mayRunBeside tells whether a further attempt of the request may start while others are in flight; where none is there is
+// nothing to ask.
+func (c *Controller) mayRunBeside(r *request) bool {
+	return r.inFlight == 0 || c.settings.MayHedge && (r.roomBeside == nil || r.roomBeside())
+}
+
 // hedge has the request wait for a second attempt beside the one in flight.
 func (c *Controller) hedge(r *request) { c.retryQueue = append(c.retryQueue, r) }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -40,6 +40,7 @@
 		estimatedMemory: arrival.Memory,
 		work:            class.meanWork,
 		priorityWeight:  class.PriorityWeight,
+		roomBeside:      arrival.MayRunBeside,
 	}
 	if r.estimatedWork > 0 {
 		prior := estimateBelief * class.meanWork
--- a/admission/request.go
+++ b/admission/request.go
@@ -16,12 +16,13 @@
 	ended     bool // answered, rejected, failed or cancelled by its client
 	streaming bool // its answer has started; it has no deadline any more
 
-	attempts     []*attempt // by number
-	inFlight     int        // attempts without a result
-	candidates   []*engine  // drawn for it and kept while they fit, until it starts
-	polled       *engine    // the latest that was polled for it
-	polls        int        // that were sent for it
-	preemptedFor *request   // has to start before this one is retried, nil for none
+	attempts     []*attempt  // by number
+	inFlight     int         // attempts without a result
+	candidates   []*engine   // drawn for it and kept while they fit, until it starts
+	polled       *engine     // the latest that was polled for it
+	polls        int         // that were sent for it
+	roomBeside   func() bool // whether an attempt may start beside others in flight, nil for always
+	preemptedFor *request    // has to start before this one is retried, nil for none
 }
 
 // firstThatMayHaveRun returns the earliest attempt that may have run, nil where none has.
--- a/admission/retry.go
+++ b/admission/retry.go
@@ -66,7 +66,7 @@
 // retryPlacement finds a request whose retry or hedge has an engine.
 func (c *Controller) retryPlacement() (placement, bool) {
 	for _, r := range c.retryQueue {
-		if r.waitsForBeneficiary() || r.inFlight > 0 && !c.settings.MayHedge || !c.mayRetry(r) || !c.withinRetryBudget() {
+		if r.waitsForBeneficiary() || !c.mayRunBeside(r) || !c.mayRetry(r) || !c.withinRetryBudget() {
 			continue
 		}
 		if e := c.place(r); e != nil {
--- a/cmd/copperrock/duties_test.go
+++ b/cmd/copperrock/duties_test.go
@@ -408,14 +408,10 @@
 	b.wait("and so does what is in use", func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		sum := 0.0
-		for _, g := range b.running {
-			sum += g
-		}
-		return sum <= 300
+		return b.usage.inUse() <= 300
 	})
 	b.mu.Lock()
-	b.most = 0
+	b.usage.most = 0
 	b.mu.Unlock()
 	// Half of the fleet is killed at once and back.
 	for _, name := range b.names[3:] {
--- a/cmd/copperrock/fleet_test.go
+++ b/cmd/copperrock/fleet_test.go
@@ -42,12 +42,10 @@
 	end     context.CancelFunc
 
 	mu      sync.Mutex
-	running map[string]float64 // grants of dispatches at the engines
-	most    float64
+	usage   engineUsage
 	answers map[string]map[fakeengine.Outcome]int // by controller
 	back    map[string]float64                    // the latest word on when to come back
-	twice   int
-	seen    []fakeengine.Event // of scheduled jobs
+	seen    []fakeengine.Event                    // of scheduled jobs
 }
 
 func newBudgeted(t *testing.T, controllers int, whole float64) *budgeted {
@@ -71,7 +69,7 @@
 
 // newFleetOf starts a fleet and waits until all its controllers take jobs.
 func newFleetOf(t *testing.T, setup fleetSetup) *budgeted {
-	b := &budgeted{whole: setup.whole, voters: map[string]string{}, options: map[string]*fleet.Options{}, running: map[string]float64{},
+	b := &budgeted{whole: setup.whole, voters: map[string]string{}, options: map[string]*fleet.Options{}, usage: newEngineUsage(),
 		answers: map[string]map[fakeengine.Outcome]int{}, back: map[string]float64{}}
 	b.crowd = newCrowd(t, 3, 1, func(_ int, e *fakeengine.Engine) {
 		e.Cores, e.Memory, e.OnEvent = 64, 1e9, b.see
@@ -142,24 +140,10 @@
 func (b *budgeted) see(s fakeengine.Event) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := s.Engine + " " + s.RequestID
 	if s.FencingToken > 0 || s.Class == "load" {
 		b.seen = append(b.seen, s)
 	}
-	switch s.Kind {
-	case "asked":
-		if _, there := b.running[key]; there {
-			b.twice++
-		}
-		b.running[key] = s.Grant
-	default:
-		delete(b.running, key)
-	}
-	sum := 0.0
-	for _, grant := range b.running {
-		sum += grant
-	}
-	b.most = max(b.most, sum)
+	b.usage.observe(s)
 }
 
 // load has a client at each controller ask for more than its part all the time, until the fleet ends.
@@ -444,19 +428,19 @@
 		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return len(v.Quantities) > 0 && len(b.running) == 0
+		return len(v.Quantities) > 0 && len(b.usage.running) == 0
 	})
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.t.Logf("most in use at the engines at once: %.0f of %.0f MB; answers %v", b.most, b.whole, b.answers)
-	if b.most > b.whole {
-		b.t.Errorf("B2: %.0f of %.0f MB were in use at the engines", b.most, b.whole)
+	b.t.Logf("most in use at the engines at once: %.0f of %.0f MB; answers %v", b.usage.most, b.whole, b.answers)
+	if b.usage.most > b.whole {
+		b.t.Errorf("B2: %.0f of %.0f MB were in use at the engines\n%s", b.usage.most, b.whole, b.usage.describeMost())
 	}
-	if b.most < b.whole/2 {
-		b.t.Errorf("only %.0f of %.0f MB were ever in use", b.most, b.whole)
+	if b.usage.most < b.whole/2 {
+		b.t.Errorf("only %.0f of %.0f MB were ever in use", b.usage.most, b.whole)
 	}
-	if b.twice > 0 {
-		b.t.Errorf("%d dispatches went twice to an engine at once", b.twice)
+	if b.usage.twice > 0 {
+		b.t.Errorf("%d dispatches went twice to an engine at once", b.usage.twice)
 	}
 }
 
@@ -556,3 +540,21 @@
 	})
 	b.wait("the others divide all", b.divided("c0", "c1", "c2"))
 }
+
+// One attempt in ten takes five times as long, so that controllers hedge: the second attempt of a request counts against the
+// budget like any other (B2). Guards against a budget that is exceeded by hedged requests.
+func TestFleetBudgetCountsHedges(t *testing.T) {
+	b := newFleetOf(t, fleetSetup{settings: budgetSettings, controllers: 4, whole: 290, engine: func(e *fakeengine.Engine) {
+		e.Seed, e.Faults = 7, map[fakeengine.Fault]float64{fakeengine.Slow: 0.1}
+	}})
+	b.wait("all four have parts", b.divided(b.names...))
+	b.load()
+	b.wait("many jobs are served", func() bool {
+		served := 0
+		for _, name := range b.names {
+			served += b.count(name, fakeengine.Completed)
+		}
+		return served > 400
+	})
+	b.finish()
+}
--- a/internal/fairshare/request.go
+++ b/internal/fairshare/request.go
@@ -5,7 +5,7 @@
 	id           uint32
 	team         *team
 	class        int
-	work, memory float64 // memory is the estimate until an attempt starts, then the grant
+	work, memory float64 // memory is the estimate until an attempt starts, then the grants of those in flight
 	arrivedAt    float64
 
 	deadline      float64 // of its client
--- a/internal/fairshare/scheduler.go
+++ b/internal/fairshare/scheduler.go
@@ -213,13 +213,13 @@
 	return s.decisions
 }
 
-// rebook replaces the estimate that a request was booked with by its grant.
-func (s *Scheduler) rebook(r *request, grant float64) {
+// rebook replaces what a request is booked with, in MB.
+func (s *Scheduler) rebook(r *request, memory float64) {
 	for t := r.team; t != nil; t = t.parent {
-		t.memoryInUse += grant - r.memory
+		t.memoryInUse += memory - r.memory
 	}
-	smaller := grant < r.memory
-	r.memory = grant
+	smaller := memory < r.memory
+	r.memory = memory
 	s.reorder(r.team)
 	if smaller {
 		s.capacityFreed(r.team)
--- a/internal/fairshare/scheduler_test.go
+++ b/internal/fairshare/scheduler_test.go
@@ -377,3 +377,45 @@
 		t.Error("an order for no team did something")
 	}
 }
+
+// Each attempt of a request counts against the budgets while it is in flight, hedged ones too: guards against a budget that
+// is exceeded by second attempts.
+func TestEachAttemptCounts(t *testing.T) {
+	s, err := New(Options{Classes: []Class{{Idempotent: true, Threads: 1}}, DefaultTeam: "a", MaxUndispatched: 8},
+		[]Budget{{Name: "a", Weight: 1, Limit: 100}, {Name: "free", Weight: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	inUse := func(what string, want float64) {
+		t.Helper()
+		if got, _ := s.Usage("a"); got != want {
+			t.Errorf("%s: %g MB in use, want %g", what, got, want)
+		}
+	}
+	s.Enqueue(0, arrival(1, 40))
+	if s.HasRoomForAttempt(2, 1) {
+		t.Error("a request that is not known has room")
+	}
+	s.Started(0, 1, 40)
+	if !s.HasRoomForAttempt(1, 60) || s.HasRoomForAttempt(1, 61) {
+		t.Error("room beside 40 of 100 MB is not 60")
+	}
+	s.AttemptAdded(1, 50)
+	inUse("two attempts", 90)
+	if s.Enqueue(1, arrival(2, 30)); s.requests[2].booked {
+		t.Error("30 MB went beside 90 of 100")
+	}
+	if admitted := s.AttemptEnded(2, 1, 40); len(admitted) != 1 || admitted[0].Request != 2 {
+		t.Errorf("once the first attempt had ended: %v", admitted)
+	}
+	inUse("the second attempt and a request", 80)
+	s.Finished(3, 1, 1)
+	inUse("the request", 30)
+	s.Finished(4, 2, 1)
+	if !s.Idle() {
+		t.Error("not idle with nothing open")
+	}
+	if !s.IsBounded("a") || s.IsBounded("free") {
+		t.Error("a is bounded, free is not")
+	}
+}
--- a/internal/fairshare/team.go
+++ b/internal/fairshare/team.go
@@ -103,10 +103,13 @@
 
 // hasCapacity reports whether the team, or team of teams, may have the request running now.
 func (t *team) hasCapacity(r *request) bool {
-	memory := t.memoryInUse + r.memory
-	return (t.Limit == 0 || memory <= t.Limit) &&
-		(t.MaxRunning == 0 || t.running < t.MaxRunning) &&
-		(!t.FleetWide || memory <= t.allocation)
+	return t.hasMemory(r.memory) && (t.MaxRunning == 0 || t.running < t.MaxRunning)
+}
+
+// hasMemory reports whether the team, or team of teams, may have so much more memory in use now, in MB.
+func (t *team) hasMemory(memory float64) bool {
+	memory += t.memoryInUse
+	return (t.Limit == 0 || memory <= t.Limit) && (!t.FleetWide || memory <= t.allocation)
 }
 
 func (t *team) withinGuarantee() bool { return t.memoryInUse < t.Guaranteed }
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -21,11 +21,15 @@
 		start.recorded = a.persistence.store.RecordRetry()
 	}
 	a.decide(request, start)
-	r.attemptsStarted++
-	r.attemptsOpen++
-	if a.fairShare != nil {
+	switch {
+	case a.fairShare == nil:
+	case r.attemptsOpen > 0:
+		a.fairShare.AttemptAdded(request, r.bookedFor(start.grant))
+	default:
 		a.startedRequests = append(a.startedRequests, request)
 	}
+	r.attemptsStarted++
+	r.attemptsOpen++
 }
 
 // target finds the engine of an endpoint.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,7 +127,7 @@
 		a.FetchPages()
 		status, _, ran = a.Wait(ctx)
 	}
-	if ran && !l.gateway.settings.Admission.MayHedge {
+	if ran && (l.request.bounded || !l.gateway.settings.Admission.MayHedge) {
 		l.awaitCancellation(a, status)
 	}
 	switch {
@@ -143,7 +143,8 @@
 }
 
 // awaitCancellation gives a cancelled attempt's engine a moment to hear of it. Where no request may run twice at once,
-// its end at one engine has to precede the next attempt, and the two go by connections that do not wait for each other.
+// its end at one engine has to precede the next attempt, and the two go by connections that do not wait for each other;
+// where a budget bounds memory, the same holds for the attempt that gets the freed room.
 func (l *lifecycle) awaitCancellation(a *attempt, status admission.Status) {
 	switch status {
 	case admission.Cancelled:
@@ -167,6 +168,9 @@
 	a.Release()
 	g.enter(func(now float64) {
 		r.attemptsOpen--
+		if g.fairShare != nil && r.attemptsOpen > 0 {
+			g.carryOut(now, g.fairShare.AttemptEnded(now, r.handle, r.bookedFor(a.Grant)))
+		}
 		if o.status == admission.Succeeded {
 			r.work = max(a.Work, r.EstimatedWork, minRecordedWork)
 		}
--- a/internal/gateway/fairshare.go
+++ b/internal/gateway/fairshare.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+
 	"copperrock.example/copperrock/internal/fairshare"
 	"copperrock.example/copperrock/internal/limits"
 )
@@ -14,6 +16,23 @@
 // UseFairShare has requests queue at a fair-share scheduler before they reach the controller. It is called before Run.
 func (g *Gateway) UseFairShare(scheduler *fairshare.Scheduler) { g.fairShare = scheduler }
 
+// bookedFor is the memory that an attempt counts against budgets, in megabytes, where the controller names that grant, or
+// none.
+func (r *openRequest) bookedFor(grant float64) float64 {
+	return cmp.Or(grant, r.maxGrant, r.EstimatedMemory)
+}
+
+// roomForAttempt is what the controller asks before it starts an attempt of a request beside others in flight, nil without
+// budgets. The lock is held when it is called.
+func (g *Gateway) roomForAttempt(r *openRequest) func() bool {
+	if g.fairShare == nil {
+		return nil
+	}
+	return func() bool {
+		return g.fairShare.HasRoomForAttempt(r.handle, max(r.grant, r.maxGrant, r.EstimatedMemory))
+	}
+}
+
 // UpdateBudgets replaces the teams' budgets; an error leaves the old ones.
 func (g *Gateway) UpdateBudgets(budgets []fairshare.Budget) (err error) {
 	g.enter(func(now float64) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -68,6 +68,7 @@
 	priority        int
 	grant           float64
 	maxGrant        float64 // 0 for no bound
+	bounded         bool    // a budget bounds the memory of its attempts
 	attemptsStarted int     // decided, those of earlier tries included
 	attemptsOpen    int     // without an outcome
 	work            float64 // that it took, 0 until it has succeeded
@@ -144,6 +145,7 @@
 		return
 	}
 	memory := r.EstimatedMemory
+	r.bounded = g.fairShare.IsBounded(r.Team)
 	if g.fairShare.CountsFleetWide(r.Team) { // no grant may exceed what is booked of a budget that other gateways share
 		memory = math.Ceil(g.controller.MaxGrant(r.class, r.EstimatedMemory))
 		r.maxGrant = memory
@@ -172,6 +174,7 @@
 		Tables:       r.tables,
 		Waited:       now - r.arrivedAt,
 		PastAttempts: r.pastAttempts,
+		MayRunBeside: g.roomForAttempt(r),
 	})
 }
 
