TestVoterReplaced starts the voter that it ended before it waits for all

What was seen: 'a controller takes jobs' not in time after 64 s, once beside other work. Cause: the test restarts controllers by name and waits after each for all; the voter that it had ended is c1 where c0 leads, and does not run yet when the test waits after c0. It waits for a process that it has ended itself. Evidence: the wait now names the controller, whether it runs, and its log. Why the change is as strict: the same starts, the same wait for all after each; only the order differs, as it was already wherever c0 did not lead.

--- a/cmd/copperrock/duties_test.go
+++ b/cmd/copperrock/duties_test.go
@@ -348,7 +348,7 @@
 	if err := fleet.InitVoter(b.options[old], true); err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range b.names {
+	for _, name := range append([]string{old}, without(b.names, old)...) { // it does not run: up would wait for it in vain
 		b.Process(name).Kill()
 		if err := b.Process(name).Start(); err != nil {
 			t.Fatal(err)
--- a/cmd/copperrock/process_test.go
+++ b/cmd/copperrock/process_test.go
@@ -197,14 +197,15 @@
 	return client.WaitReady(time.Second) == nil
 }
 
-// up waits until all controllers take jobs.
+// up waits until all controllers take jobs. Of one that does not it tells whether its process runs, and what it wrote last.
 func (c *crowd) up() {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
 	defer cancel()
 	for i, address := range c.addresses {
 		if err := processes.Until(ctx, "a controller takes jobs", func() bool { return ready(address) }); err != nil {
-			c.t.Fatal(i, err, c.Tail(c.Names()[0], 2000))
+			name := c.Names()[i]
+			c.t.Fatalf("%v: %s at %s, running %v: %s", err, name, address, c.Process(name).Running(), c.Tail(name, 2000))
 		}
 	}
 }
