Clients that send without end are paced, and their requests yield to others'

What callers saw: beside 20 connections that send lookups without end and never read, 518 of 4,999 requests of others were done, 459 failed, p99 4.0 s; beside 200 none. The same with clients that read slowly, by half, or cancel at once. Cause: the processor first: the reader of a connection over its limit reads, rejects and answers at full speed until megabytes of system buffers are full (5.16 s of CPU in 5 s, 0.88 s without). Then the room: what is within the limit is admitted in arrival order, and a full queue rejects the latest, whoever sent it. TestFloodIsPaced fails without the pacing (556 in 0.5 s), TestFloodTakesLittle before. Why it works: a connection that goes on over its limits is found out by count and backlog; all such together are read at a rate that falls while the processor is busy, each with growing pauses; their requests wait behind others and are shed first. What was read is answered as before, nothing is closed.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint and run copperrock. The bench is not needed.
 
-.PHONY: all build test race lint fuzz traces run demo soak-file measure-file measure-platform upgrade bench-teams standing spread fleet-sim fleet fleet-model fleet-plots crash measure-store measure-fleet duties
+.PHONY: all build test race lint fuzz traces run demo soak-file measure-file measure-platform upgrade bench-teams standing spread fleet-sim fleet fleet-model fleet-plots crash measure-store measure-fleet measure-flood duties
 
 all: lint build test
 
@@ -102,6 +102,12 @@
 run: build
 	LB_CONFIG=$${LB_CONFIG:?names the configuration} exec bin/copperrock
 
+# Clients that send without end beside well-behaved ones: numbers of their connections, and how long each play lasts.
+FLOODS ?= 0 20 200 1000
+LENGTH ?= 5s
+measure-flood:
+	MEASURE=1 FLOODS="$(FLOODS)" LENGTH=$(LENGTH) go test -count=1 -timeout 30m -v -run MeasureFlood ./cmd/copperrock
+
 # A controller killed CRASHES times under clients that try again; SEED draws another run.
 CRASHES ?= 2000
 crash:
--- a/admission/class.go
+++ b/admission/class.go
@@ -7,7 +7,7 @@
 type classState struct {
 	*Class
 
-	queue         []*request // requests that have not started, in order of arrival
+	queue         []*request // requests that have not started, in order of arrival, those that yield last
 	grantedMemory float64    // MB booked for the attempts in flight
 	inFlight      int        // attempts without a result
 	unplacedAt    float64    // time at which its next request last fitted nowhere
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,10 +1,16 @@
 package admission
 
-import "container/heap"
+import (
+	"container/heap"
+	"slices"
+)
 
 // maxQueueLength is how many requests of a class may wait before the latest is shed.
 const maxQueueLength = 200
 
+// yieldingWeight is what the priority weight of a request that yields is multiplied by.
+const yieldingWeight = 0.01
+
 // estimateBelief is how many mean requests the ratio of needed to estimated work starts with at 1.
 const estimateBelief = 5
 
@@ -41,6 +47,10 @@
 		work:            class.meanWork,
 		priorityWeight:  class.PriorityWeight,
 		roomBeside:      arrival.MayRunBeside,
+		yields:          arrival.Yields,
+	}
+	if r.yields {
+		r.priorityWeight *= yieldingWeight
 	}
 	if r.estimatedWork > 0 {
 		prior := estimateBelief * class.meanWork
@@ -64,16 +74,33 @@
 		c.retryQueue = append(c.retryQueue, r)
 		return
 	}
-	r.class.queue = append(r.class.queue, r)
+	r.class.insert(r)
+}
+
+// insert puts a request at its place in the queue: by arrival, those that yield behind the others.
+func (class *classState) insert(r *request) {
+	at := len(class.queue)
+	for !r.yields && at > 0 && class.queue[at-1].yields {
+		at--
+	}
+	class.queue = slices.Insert(class.queue, at, r)
+}
+
+// isBefore tells whether the request's turn comes before another's, of whatever class.
+func (r *request) isBefore(other *request) bool {
+	if r.yields != other.yields {
+		return other.yields
+	}
+	return r.arrivedAt < other.arrivedAt
 }
 
-// queuePlacement finds, of the requests that are next in their queues, the oldest that has an engine and has waited for the
+// queuePlacement finds, of the requests that are next in their queues, the first that has an engine and has waited for the
 // load report that was asked for it.
 func (c *Controller) queuePlacement() (placement, bool) {
 	var oldest placement
 	for _, class := range c.classes {
 		r := class.nextRequest(c.now)
-		if r == nil || oldest.request != nil && r.arrivedAt >= oldest.request.arrivedAt || r.awaitsReport(c.now) {
+		if r == nil || oldest.request != nil && !r.isBefore(oldest.request) || r.awaitsReport(c.now) {
 			continue
 		}
 		if e := c.place(r); e != nil {
--- a/admission/request.go
+++ b/admission/request.go
@@ -13,6 +13,7 @@
 	work            float64     // CPU seconds: the estimate as corrected by answers, or the class's mean
 	priorityWeight  float64     // that of its class, less where it came over its tenant's quota
 
+	yields    bool // it waits behind those that do not, and is shed before them
 	ended     bool // answered, rejected, failed or cancelled by its client
 	streaming bool // its answer has started; it has no deadline any more
 
--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -29,6 +29,7 @@
 
 	mu           sync.Mutex
 	inFlight     inFlight
+	overload     overload
 	sentMessage  bool // a complete message has come
 	midMessage   bool // a message has begun
 	shuttingDown bool // requests that still come are rejected
@@ -167,6 +168,7 @@
 		if err := c.handleMessage(ctx, &decoder{in: in, remaining: lim.MaxMessage, depth: lim.MaxDepth}, requests); err != nil {
 			return err
 		}
+		c.pace(ctx, in.Buffered() > 0)
 	}
 }
 
--- a/internal/frontend/msgpackrpc/message.go
+++ b/internal/frontend/msgpackrpc/message.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"runtime/debug"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -119,10 +120,14 @@
 		return requestDuplicate, duplicate
 	case params.malformed || params.fault != "":
 		return requestMalformed, nil
-	case c.inFlight.full(c.server.Limits.MaxRequestsPerConn), params.outOfBuffers, c.shuttingDown:
+	case c.inFlight.full(c.maxInFlight()):
+		c.exceeded()
+		return requestOverLimit, nil
+	case params.outOfBuffers, c.shuttingDown:
 		return requestOverLimit, nil
 	default:
 		c.inFlight.add(r)
+		params.request.Yields = c.yields(time.Now())
 		return requestTaken, nil
 	}
 }
@@ -185,5 +190,6 @@
 	defer c.mu.Unlock()
 	if r := c.inFlight.find(id); r != nil {
 		r.cancelByClient()
+		c.exceeded()
 	}
 }
--- a/internal/frontend/msgpackrpc/server.go
+++ b/internal/frontend/msgpackrpc/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -34,6 +35,9 @@
 	// heed no advice.
 	RetryAfter float64
 
+	pacer     *pacer       // of overloading connections' messages; set by Run
+	connCount atomic.Int64 // of conns
+
 	mu           sync.Mutex
 	conns        map[*conn]struct{} // but for those that were evicted
 	shuttingDown bool
@@ -44,6 +48,7 @@
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	s.mu.Lock()
 	s.conns = map[*conn]struct{}{}
+	s.pacer = newPacer(&s.Limits)
 	s.mu.Unlock()
 	var group errgroup.Group
 	for {
@@ -88,6 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
+	s.connCount.Store(int64(len(s.conns)))
 	if s.shuttingDown {
 		c.beginShutdown()
 	}
@@ -99,4 +105,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.connCount.Store(int64(len(s.conns)))
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,6 +36,9 @@
 	// WantsWaitEstimate asks for Responder.WaitEstimate.
 	WantsWaitEstimate bool
 
+	// Yields says that the client asks for more than its part: the request waits behind others, and is shed before them.
+	Yields bool
+
 	// FencingToken is asked right before each attempt of a request that belongs to the holder of a lease; nil for a
 	// client's request. It returns the token to send along, "" where engines take none, and whether the lease is held.
 	FencingToken func() (token string, held bool)
@@ -175,6 +178,7 @@
 		Waited:       now - r.arrivedAt,
 		PastAttempts: r.pastAttempts,
 		MayRunBeside: g.roomForAttempt(r),
+		Yields:       r.Yields,
 	})
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -18,6 +18,12 @@
 	// Counts.
 	MaxRequestsPerConn  int // open on one client connection
 	MaxRequests         int // open altogether
+	RequestsBeforeYield int // open on all client connections together, by whose even part a connection's further requests yield
+	MaxBeforeYield      int // open on one client connection, from which its further requests yield in any case
+	MinRequestsPerConn  int // open on one client connection however many connections there are
+	ExcessPerConn       int // requests beyond its limit, or cancelled, that one connection may send in a second
+	MinExcessPerConn    int // the same however many connections there are
+	Excess              int // the same of all connections together; each has its even part
 	WriteQueue          int // what waits to be written on one connection
 	AttemptsPerConn     int // dispatches on each of them before a further one is opened
 	ConnsPerEngine      int // connections to one engine, before they are filled
@@ -51,6 +57,9 @@
 	ClientIdleTimeout   float64 // without an open job
 	NewClientGrace      float64 // for a new connection to say something before it gives way to another
 	IdleClientGrace     float64 // without a job, before one that has said something gives way
+	OverloadHold        float64 // for which a connection that sends more than its limits counts as overloading
+	PacedRate           float64 // messages a second that are read of all overloading connections together without a wait
+	MinPacedRate        float64 // the same on a machine that is busy
 	AcceptRetryInterval float64 // between looks for a free place
 	FinalReadTime       float64 // for what has come when a connection is to end
 	ClientLinger        float64 // for the client to close after the last answer
@@ -83,6 +92,12 @@
 
 		MaxRequestsPerConn:  32,
 		MaxRequests:         int(min(max(memory/(32<<10), 64), 20000)), // a job costs two stacks and its statement
+		RequestsBeforeYield: 128,
+		MaxBeforeYield:      8,
+		MinRequestsPerConn:  4,
+		ExcessPerConn:       16,
+		MinExcessPerConn:    4,
+		Excess:              1024,
 		WriteQueue:          256,
 		AttemptsPerConn:     3,
 		ConnsPerEngine:      8, // three gateways open 24 at an engine; a lost connection then costs a few dispatches
@@ -114,6 +129,9 @@
 		ClientIdleTimeout:   6, // clients close idle ones themselves after 4 s
 		NewClientGrace:      0.05,
 		IdleClientGrace:     1, // clients in use come back sooner
+		OverloadHold:        1,
+		PacedRate:           2000, // a quarter of what a processor can serve
+		MinPacedRate:        100,
 		AcceptRetryInterval: 0.005,
 		FinalReadTime:       0.005,
 		ClientLinger:        0.5, // the way there and back many times
