A connection's even part counts those that ask, not those that are open

Cause: the parts of a connection (open requests, excess, requests before others' go first) fell with the number of connections, idle ones too, down to one request: where many idle clients stay, an ordinary client with two requests open yielded to all others.

--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -44,7 +44,7 @@
 		peer:      peer,
 		responses: make(chan frame, 4*s.Limits.MaxRequestsPerConn),
 		replies:   make(chan frame),
-		inFlight:  newInFlight(),
+		inFlight:  newInFlight(&s.busyConns),
 		lastUsed:  time.Now(),
 	}
 }
--- a/internal/frontend/msgpackrpc/inflight.go
+++ b/internal/frontend/msgpackrpc/inflight.go
@@ -1,19 +1,27 @@
 package msgpackrpc
 
+import "sync/atomic"
+
 // inFlight is the table of a connection's open requests, and the count of responses that are owed. conn.mu guards it.
 type inFlight struct {
 	requests map[uint32]*responder // by the client's message id
 	owed     int                   // responses not yet written, those of open requests included
+	busy     *atomic.Int64         // the server's count of connections with open requests
 }
 
-// newInFlight makes an empty table.
-func newInFlight() inFlight { return inFlight{requests: map[uint32]*responder{}} }
+// newInFlight makes an empty table. The connection counts in busy while it has open requests.
+func newInFlight(busy *atomic.Int64) inFlight {
+	return inFlight{requests: map[uint32]*responder{}, busy: busy}
+}
 
 // find returns the open request of an id, nil for none.
 func (f *inFlight) find(id uint32) *responder { return f.requests[id] }
 
 // add opens a request, whose response is owed from here.
 func (f *inFlight) add(r *responder) {
+	if len(f.requests) == 0 {
+		f.busy.Add(1)
+	}
 	f.requests[r.id] = r
 	f.owed++
 }
@@ -25,6 +33,9 @@
 		return false
 	}
 	delete(f.requests, r.id)
+	if len(f.requests) == 0 {
+		f.busy.Add(-1)
+	}
 	return true
 }
 
--- a/internal/frontend/msgpackrpc/overload.go
+++ b/internal/frontend/msgpackrpc/overload.go
@@ -99,9 +99,9 @@
 	return c.evenPart(lim.MaxRequests, lim.MinRequestsPerConn, lim.MaxRequestsPerConn)
 }
 
-// evenPart is the part of a total that one of the present connections has, between least and most.
+// evenPart is the part of a total that one of the connections with open requests has, between least and most.
 func (c *conn) evenPart(total, least, most int) int {
-	part := total / max(int(c.server.connCount.Load()), 1)
+	part := total / max(int(c.server.busyConns.Load()), 1)
 	return min(max(part, least), most)
 }
 
@@ -109,5 +109,5 @@
 // has more open than its part. The lock is held.
 func (c *conn) yields(now time.Time) bool {
 	lim := &c.server.Limits
-	return c.overload.active(now) || c.inFlight.open() > c.evenPart(lim.RequestsBeforeYield, 1, lim.MaxBeforeYield)
+	return c.overload.active(now) || c.inFlight.open() > c.evenPart(lim.RequestsBeforeYield, lim.MinBeforeYield, lim.MaxBeforeYield)
 }
--- a/internal/frontend/msgpackrpc/server.go
+++ b/internal/frontend/msgpackrpc/server.go
@@ -36,7 +36,7 @@
 	RetryAfter float64
 
 	pacer     *pacer       // of overloading connections' messages; set by Run
-	connCount atomic.Int64 // of conns
+	busyConns atomic.Int64 // connections with open requests
 
 	mu           sync.Mutex
 	conns        map[*conn]struct{} // but for those that were evicted
@@ -93,7 +93,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
-	s.connCount.Store(int64(len(s.conns)))
 	if s.shuttingDown {
 		c.beginShutdown()
 	}
@@ -105,5 +104,4 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
-	s.connCount.Store(int64(len(s.conns)))
 }
