Only requests of connections that overload the server yield

Change: only a connection that goes on over its limits yields; the even part of what may go before others is gone.

--- a/admission/events.go
+++ b/admission/events.go
@@ -11,7 +11,7 @@
 	Memory   float64 // estimated memory, 0 where there is no estimate
 	Tables   uint32  // hash of the tables that it touches, 0 for none
 	Waited   float64 // seconds since its client sent it
-	Yields   bool    // its client asks for more than its part: it waits behind the others and is shed before them
+	Yields   bool    // its client goes on over its limits: it waits behind the others and is shed before them
 
 	// PastAttempts were started by an earlier process of this gateway and may have run. The rules for retries hold for
 	// the request from the first of them on.
--- a/internal/frontend/msgpackrpc/message.go
+++ b/internal/frontend/msgpackrpc/message.go
@@ -127,7 +127,7 @@
 		return requestOverLimit, nil
 	default:
 		c.inFlight.add(r)
-		params.request.Yields = c.yields(time.Now())
+		params.request.Yields = c.overload.active(time.Now())
 		return requestTaken, nil
 	}
 }
--- a/internal/frontend/msgpackrpc/overload.go
+++ b/internal/frontend/msgpackrpc/overload.go
@@ -104,10 +104,3 @@
 	part := total / max(int(c.server.busyConns.Load()), 1)
 	return min(max(part, least), most)
 }
-
-// yields reports whether one more request of the connection is to wait behind those of others: it overloads the server, or
-// has more open than its part. The lock is held.
-func (c *conn) yields(now time.Time) bool {
-	lim := &c.server.Limits
-	return c.overload.active(now) || c.inFlight.open() > c.evenPart(lim.RequestsBeforeYield, lim.MinBeforeYield, lim.MaxBeforeYield)
-}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,7 +36,7 @@
 	// WantsWaitEstimate asks for Responder.WaitEstimate.
 	WantsWaitEstimate bool
 
-	// Yields says that the client asks for more than its part: the request waits behind others, and is shed before them.
+	// Yields says that the client goes on over its limits: the request waits behind others, and is shed before them.
 	Yields bool
 
 	// FencingToken is asked right before each attempt of a request that belongs to the holder of a lease; nil for a
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -18,9 +18,6 @@
 	// Counts.
 	MaxRequestsPerConn  int // open on one client connection
 	MaxRequests         int // open altogether
-	RequestsBeforeYield int // open on all client connections that ask together, by whose even part a connection's further requests yield
-	MinBeforeYield      int // open on one client connection, up to which its requests do not yield however many ask
-	MaxBeforeYield      int // open on one client connection, from which its further requests yield in any case
 	MinRequestsPerConn  int // open on one client connection however many connections there are
 	ExcessPerConn       int // requests beyond its limit, or cancelled, that one connection may send in a second
 	MinExcessPerConn    int // the same however many connections there are
@@ -93,9 +90,6 @@
 
 		MaxRequestsPerConn:  32,
 		MaxRequests:         int(min(max(memory/(32<<10), 64), 20000)), // a job costs two stacks and its statement
-		RequestsBeforeYield: 128,
-		MinBeforeYield:      4,
-		MaxBeforeYield:      8,
 		MinRequestsPerConn:  4,
 		ExcessPerConn:       16,
 		MinExcessPerConn:    4,
