--- a/review/standin/case_records.go
+++ b/review/standin/case_records.go
@@ -19,6 +19,8 @@
 	usualLoads  = 4
 	loadMillis  = 2150
 	killedAfter = time.Second // from the dispatch of the usual client's loads
+
+	badStatement = "select a from runs_9.b /* ms=2000 */"
 )
 
 // runRecords kills a controller with a store while run-once loads are in flight, and repeats the loads under their keys once it is
@@ -64,8 +66,18 @@
 	if err := start(); err != nil {
 		return nil, err
 	}
+	dispatched := func(prefix string) (count int) {
+		for _, e := range engines {
+			for _, d := range e.received() {
+				if strings.HasPrefix(d.statement, prefix) {
+					count++
+				}
+			}
+		}
+		return count
+	}
 	if r.trouble {
-		if err := r.badClient(listen); err != nil {
+		if err := r.badClient(listen, func() bool { return dispatched(badStatement) > 0 }); err != nil {
 			return nil, err
 		}
 	}
@@ -84,6 +96,9 @@
 	for n := range usualLoads {
 		usual.send(load(n, 1))
 	}
+	if err := r.waitFor("the loads are dispatched", 5*time.Second, func() bool { return dispatched("load ") == usualLoads }); err != nil {
+		return nil, err
+	}
 	time.Sleep(killedAfter)
 	p.signal(syscall.SIGKILL)
 	<-p.ended
@@ -117,15 +132,17 @@
 }
 
 // badClient sends a keyed job, takes it back while it runs, and sends it again with very little time as soon as it is turned away.
-func (r *run) badClient(listen string) error {
+func (r *run) badClient(listen string, runs func() bool) error {
 	bad, err := r.dialClient("bad", listen)
 	if err != nil {
 		return err
 	}
 	job := job{id: jobID(1 << 20), class: "report", allow: 20 * time.Second, effort: 100 * time.Microsecond, needMB: 10,
-		statement: "select a from runs_9.b /* ms=500 */", fields: map[string]string{"key": "again", "replay": "again"}}
+		statement: badStatement, fields: map[string]string{"key": "again", "replay": "again"}}
 	first := bad.send(job)[0]
-	time.Sleep(100 * time.Millisecond)
+	if err := r.waitFor("the bad client's job runs", 5*time.Second, runs); err != nil {
+		return err
+	}
 	bad.abort(first)
 	time.Sleep(100 * time.Millisecond)
 	bad.quiet = true
