--- a/review/standin/cases_test.go
+++ b/review/standin/cases_test.go
@@ -17,12 +17,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	record := filepath.Join(root, folder, "record.txt")
 	if folder == "" {
-		folder = t.TempDir()
-	} else {
-		folder = filepath.Join(root, folder)
+		record = filepath.Join(t.TempDir(), "record.txt")
 	}
-	command := exec.Command(filepath.Join(root, "review/bin/standin"), name, folder)
+	command := exec.Command(filepath.Join(root, "review/bin/standin"), name, record)
 	command.Dir = root
 	command.Stderr = os.Stderr
 	out, err := command.Output()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,7 +26,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER, from the root of the repository")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD, from the root of the repository; RECORD is the file to write")
 		os.Exit(exitNotRun)
 	}
 	r, err := newRun(os.Args[2], os.Getenv("TROUBLE") != "0")
--- a/review/standin/run.go
+++ b/review/standin/run.go
@@ -32,7 +32,7 @@
 	flushedAt float64
 }
 
-func newRun(caseFolder string, trouble bool) (*run, error) {
+func newRun(recordFile string, trouble bool) (*run, error) {
 	deploy, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		return nil, err
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	file, err := os.Create(filepath.Join(caseFolder, "record.txt"))
+	file, err := os.Create(recordFile)
 	if err != nil {
 		return nil, err
 	}
