Command channel: silent connections stay open beside new ones, so a late channel is heard

Cause: Client.stream closed each connection after 2 s without a line. Silence doesn't tell a dead connection from a late one: each connection was closed 1 s before its first line was due, and the next one asked anew and was closed as well. The same deadline cut off a line that takes over 2 s to arrive, and the one for dialing each connection that is established after over 1 s.

The log could not tell a late channel from one that is down: "command channel back" has the new fields silent and waited for that.

Change: the core internal/discovery/watch/reconnect decides when to connect and what to close. After 2 s of silence another connection is opened beside the silent one; the first line on a connection closes those before it. At most four are open, and the newest makes room for a fresh one every 2 s. One that is silent for 16 s is closed, and while nothing arrives that time doubles.

--- a/cmd/copperrock/crossing_test.go
+++ b/cmd/copperrock/crossing_test.go
@@ -116,6 +116,28 @@
 	c.Check()
 }
 
+// The command channel is late: a drain arrives on a connection that has been silent for longer than the idle timeout. Guards against
+// the controller having closed that connection, so that it goes on sending requests to the engine that drains.
+func TestDrainToldLate(t *testing.T) {
+	x := testutil.NewTrace(t)
+	e, other := x.StartEngine("engine", ":0"), x.StartEngine("other", ":0")
+	c := startController(x, func(l *limits.Limits) { l.ChannelIdleTimeout = 0.05 }, e.Addr().String())
+	c.sendUntilDispatched(e, 1, "lookup")
+	second, err := c.channel.Accept() // the idle timeout is over
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	c.channel.SendLine(c.watchEvent(false, "terminating", e.Addr().String()))
+	c.channel.SendLine(strings.Replace(c.watchEvent(false, "in_service", other.Addr().String()), `"s-0"`, `"s-7"`, 1))
+	e.SendAnswer(1, testutil.RequestID(1), "data", "chunks=1", "a\tb\tc\n")
+	c.client.ReadAnswer()
+	e.ExpectCommands(1) // its connection is closed: it drains and has no request
+	c.client.SendRequest(2, "lookup", 60000, "select 2")
+	other.ExpectCommands(1)
+	c.Check()
+}
+
 // A keyed request may be retried within its idempotency window, but the connection for the retry is established only after
 // the window has ended. Guards against the retry being sent too late: instead the client is told to come back.
 func TestWindowEndsBeforeTheConnectionIsUp(t *testing.T) {
--- a/internal/discovery/watch/client.go
+++ b/internal/discovery/watch/client.go
@@ -3,8 +3,6 @@
 package watch
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,33 +17,33 @@
 	"copperrock.example/copperrock/internal/limits"
 )
 
-// initialLineSize is the initial size of the line buffer in bytes. The buffer grows up to Limits.MaxLine.
-const initialLineSize = 4 << 10
-
-var (
-	// errGap means that events were missed. The server sends them again on the next connection.
-	errGap = errors.New("events were missed")
-	// errClosed means that the server has closed the stream.
-	errClosed = errors.New("channel closed")
-)
+// errGap means that events were missed. The server sends them again on the next connection.
+var errGap = errors.New("events were missed")
 
 // Client is a controller's end of the command channel. Its exported fields must be set before the first call and not changed
-// afterwards. Run owns the connection; the other methods are safe for concurrent use.
+// afterwards. Run owns the connections; the other methods are safe for concurrent use.
 type Client struct {
 	Subscriber discovery.Subscriber
 	Limits     limits.Limits
 	Log        zerolog.Logger
 
-	mu           sync.Mutex // guards address and cancelStream
-	address      string
-	cancelStream context.CancelFunc // ends the current stream, so that Run connects to the present address
+	dial dialer // opens connections, net.Dialer's if nil; replaced by tests
+
+	mu             sync.Mutex // guards address and cancelFollower
+	address        string
+	cancelFollower context.CancelFunc // ends the current follower, so that Run connects to the present address
 
 	eventMu   sync.Mutex // guards lastEvent; held while an event is applied
 	lastEvent int64      // number of the last event applied
 
-	connected bool // used by Run only; false from the loss of the channel until the next valid line
+	// The rest is used by the goroutine of Run only.
+	connected bool      // false from the loss of the channel until the next valid line
+	lineAt    time.Time // when the last valid line arrived, at first when Run was called
 }
 
+// dialer opens connections to the command channel until its context ends.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
 // ApplyKnown applies those events of a configuration that have not been applied yet. It is called at startup and when the
 // configuration is reloaded, since a new configuration may have later events than a channel that is silent or unreachable.
 func (c *Client) ApplyKnown(events []json.RawMessage) error {
@@ -69,76 +67,53 @@
 func (c *Client) SetAddress(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancelStream != nil && c.address != address {
-		c.cancelStream()
+	if c.cancelFollower != nil && c.address != address {
+		c.cancelFollower()
 	}
 	c.address = address
 }
 
-// Run follows the channel until ctx ends. It reconnects whenever the channel closes or is silent for too long.
+// Run follows the channel until ctx ends. It reconnects whenever the channel closes or is silent.
 func (c *Client) Run(ctx context.Context) error {
-	c.connected = true
+	c.connected, c.lineAt = true, time.Now()
 	for ctx.Err() == nil {
-		streamCtx, cancel, address := c.openStream(ctx)
-		err := c.stream(streamCtx, address)
-		if streamCtx.Err() == nil {
-			c.streamLost(err)
-			select {
-			case <-streamCtx.Done():
-			case <-time.After(limits.Duration(c.Limits.ChannelRetryDelay)):
-			}
-		}
+		followerCtx, cancel, address := c.openFollower(ctx)
+		newFollower(c, address).run(followerCtx)
 		cancel()
 	}
 	return ctx.Err()
 }
 
-// openStream returns the context of the next stream, which SetAddress may cancel, and the address to connect to.
-func (c *Client) openStream(ctx context.Context) (context.Context, context.CancelFunc, string) {
+// openFollower returns the context of the next follower, which SetAddress may cancel, and the address to connect to.
+func (c *Client) openFollower(ctx context.Context) (context.Context, context.CancelFunc, string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	streamCtx, cancel := context.WithCancel(ctx)
-	c.cancelStream = cancel
-	return streamCtx, cancel, c.address
+	followerCtx, cancel := context.WithCancel(ctx)
+	c.cancelFollower = cancel
+	return followerCtx, cancel, c.address
 }
 
-func (c *Client) streamLost(err error) {
+// channelLost logs, once until a line arrives again, that the channel is lost.
+func (c *Client) channelLost(err error) {
 	if c.connected {
 		c.Log.Warn().Err(err).Int64("event", c.LastEvent()).Msg("command channel lost")
 	}
 	c.connected = false
 }
 
-// stream opens a connection and applies the events that arrive on it until it ends.
-func (c *Client) stream(ctx context.Context, address string) error {
-	dialer := net.Dialer{Timeout: limits.Duration(c.Limits.ChannelDialTimeout)}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	idleTimeout := limits.Duration(c.Limits.ChannelIdleTimeout)
-	conn.SetDeadline(time.Now().Add(idleTimeout))
-	if _, err = fmt.Fprintf(conn, "resume %d\n", c.LastEvent()); err != nil {
-		return err
-	}
-	lines := bufio.NewScanner(conn)
-	lines.Buffer(make([]byte, 0, initialLineSize), c.Limits.MaxLine)
-	lines.Split(scanCompleteLines)
-	for lines.Scan() {
-		conn.SetDeadline(time.Now().Add(idleTimeout))
-		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			if err := c.applyLine(line); err != nil {
-				return err
-			}
-		}
+// lineReceived records a valid line, on a connection on which none had arrived for waited seconds. If the channel was lost, this
+// tells in the log whether the channel had been out of reach or late: only late lines arrive on a connection that has waited.
+func (c *Client) lineReceived(waited float64) {
+	now := time.Now()
+	if !c.connected {
+		c.Log.Info().Int64("event", c.LastEvent()).Float64("silent", now.Sub(c.lineAt).Seconds()).Float64("waited", waited).
+			Msg("command channel back")
 	}
-	return errors.Join(lines.Err(), errClosed)
+	c.connected, c.lineAt = true, now
 }
 
-// applyLine applies an event or a heartbeat. After an error the stream must be reopened from the last event applied, since to
-// continue would skip events.
+// applyLine applies an event or a heartbeat; streams call it concurrently. After an error the stream must be reopened from the
+// last event applied, since to continue would skip events.
 func (c *Client) applyLine(line []byte) error {
 	changed := false
 	if number, heartbeat := parseHeartbeat(line); heartbeat {
@@ -151,10 +126,6 @@
 			return err
 		}
 	}
-	if !c.connected {
-		c.Log.Info().Int64("event", c.LastEvent()).Msg("command channel back")
-	}
-	c.connected = true
 	if changed {
 		c.Log.Debug().Int64("event", c.LastEvent()).Msg("endpoint list changed")
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -14,6 +14,7 @@
 	ClientConnsSoftLimit int // number of client connections at which idle ones begin to be evicted for new ones
 	ClientConnsHardLimit int // number of client connections at which idle ones are evicted after the shortest grace
 	MaxEngineConns       int // maximum number of connections to all engines together
+	MaxChannelConns      int // maximum number of connections to the command channel while it is silent
 
 	// Counts.
 	MaxRequestsPerConn  int // maximum number of open requests on one client connection
@@ -68,9 +69,10 @@
 	LoadPollTimeout     float64 // time for the answer to a load poll
 
 	KeepaliveAfter, MaxKeepaliveAfter float64 // silence before a keep-alive is sent, initially and at most
-	ChannelIdleTimeout                float64 // time without a heartbeat or an event on the command channel
+	ChannelIdleTimeout                float64 // time without a heartbeat or an event on the command channel before it is connected to anew
+	ChannelConnTimeout                float64 // time without data before a connection to the command channel is closed
 	ChannelRetryDelay                 float64 // delay between attempts to connect to the command channel
-	ChannelDialTimeout                float64 // time for a connection to the command channel to be established
+	ChannelDialTimeout                float64 // time to establish a connection to the command channel before another one is tried
 	ShutdownAcceptTime                float64 // time after the signal in which requests are still accepted
 	MaxShutdownWait                   float64 // longest request timeout that shutdown waits for
 	ShutdownMargin                    float64 // time added to that timeout, after which all requests must be answered
@@ -87,6 +89,7 @@
 		ClientConnsSoftLimit: max(sockets/4, 2),
 		ClientConnsHardLimit: max(sockets/3, 3),
 		MaxEngineConns:       max(sockets*4/10, 4), // a fifth is left for the listener, the command channel and the runtime
+		MaxChannelConns:      4,                    // each may buffer a line of MaxLine
 
 		MaxRequestsPerConn:  32,
 		MaxRequests:         int(min(max(memory/(32<<10), 64), 20000)), // a request costs two goroutine stacks and its statement
@@ -137,7 +140,8 @@
 		CancelTimeout:       0.025, // ten times the latency between zones
 		LoadPollTimeout:     0.25,
 		KeepaliveAfter:      0.5, MaxKeepaliveAfter: 4, // a keep-alive costs work at the engine; a late one keeps requests waiting
-		ChannelIdleTimeout: 2, // allows for one missed heartbeat and one late one
+		ChannelIdleTimeout: 2,  // allows for one missed heartbeat and one late one
+		ChannelConnTimeout: 16, // the channel may be 10 s late
 		ChannelRetryDelay:  0.1,
 		ChannelDialTimeout: 1,
 		ShutdownAcceptTime: 0.8, // 0.4 s for new connections, 0.2 s more for open ones, and network delay
