--- a/internal/config/platform/platform.go
+++ b/internal/config/platform/platform.go
@@ -28,6 +28,23 @@
 	Settings       deployment.Settings
 }
 
+// document is the configuration file, with the platform's names.
+type document struct {
+	Name    string `json:"Name"`
+	Listen  string `json:"Listen"`
+	Seed    string `json:"Seed"`
+	Channel string `json:"Channel"`
+	Limits  struct {
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  float64 `json:"Sockets"`
+	} `json:"Limits"`
+	Known struct {
+		Cursor int64             `json:"Cursor"`
+		Cmds   []json.RawMessage `json:"Cmds"`
+	} `json:"Known"`
+	Settings json.RawMessage `json:"Settings"`
+}
+
 // Read reads and checks the configuration file.
 func Read(file string) (Config, error) {
 	if file == "" {
@@ -37,52 +54,49 @@
 	if err != nil {
 		return Config{}, err
 	}
-	var config struct {
-		Name    string `json:"Name"`
-		Listen  string `json:"Listen"`
-		Seed    string `json:"Seed"`
-		Channel string `json:"Channel"`
-		Limits  struct {
-			MemoryMB float64 `json:"memory_mb"`
-			Sockets  float64 `json:"Sockets"`
-		} `json:"Limits"`
-		Known struct {
-			Cursor int64             `json:"Cursor"`
-			Cmds   []json.RawMessage `json:"Cmds"`
-		} `json:"Known"`
-		Settings json.RawMessage `json:"Settings"`
-	}
-	if err := json.Unmarshal(text, &config); err != nil {
+	var d document
+	if err := json.Unmarshal(text, &d); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", file, err)
 	}
 	c := Config{
 		File:           file,
-		Name:           config.Name,
-		Listen:         config.Listen,
-		ChannelAddress: config.Channel,
-		MemoryMB:       int(config.Limits.MemoryMB),
-		MaxDescriptors: int(config.Limits.Sockets),
-		LastEvent:      config.Known.Cursor,
-		Events:         config.Known.Cmds,
+		Name:           d.Name,
+		Listen:         d.Listen,
+		ChannelAddress: d.Channel,
+		Seed:           parseSeed(d.Seed),
+		MemoryMB:       int(d.Limits.MemoryMB),
+		MaxDescriptors: int(d.Limits.Sockets),
+		LastEvent:      d.Known.Cursor,
+		Events:         d.Known.Cmds,
 	}
-	if c.Seed, err = strconv.ParseUint(config.Seed, 16, 64); err != nil { // not hexadecimal: any text may be a seed
-		h := fnv.New64a()
-		h.Write([]byte(config.Seed))
-		c.Seed = h.Sum64()
-	}
-	if c.Settings, err = deployment.ParseJSON(config.Settings); err != nil {
+	if c.Settings, err = deployment.ParseJSON(d.Settings); err != nil {
 		return c, fmt.Errorf("%s: %w", file, err)
 	}
+	return c, c.validate()
+}
+
+// parseSeed parses a seed in hexadecimal digits. Any other text is a seed too, by its hash.
+func parseSeed(text string) uint64 {
+	if seed, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return seed
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// validate returns why a controller can't run with the configuration, or nil.
+func (c *Config) validate() error {
 	for _, address := range []string{c.Listen, c.ChannelAddress} {
 		if _, _, err := net.SplitHostPort(address); err != nil {
-			return c, fmt.Errorf("%s: %w", file, err)
+			return fmt.Errorf("%s: %w", c.File, err)
 		}
 	}
 	if c.MemoryMB < 16 || c.MaxDescriptors < 32 {
-		return c, fmt.Errorf("%s: limits of %d MB and %d descriptors are too low to run", file, c.MemoryMB, c.MaxDescriptors)
+		return fmt.Errorf("%s: limits of %d MB and %d descriptors are too low to run", c.File, c.MemoryMB, c.MaxDescriptors)
 	}
 	if len(c.Settings.Classes) == 0 {
-		return c, fmt.Errorf("%s: the settings hold no reservation type", file)
+		return fmt.Errorf("%s: the settings hold no reservation type", c.File)
 	}
-	return c, nil
+	return nil
 }
--- a/internal/discovery/watch/client_test.go
+++ b/internal/discovery/watch/client_test.go
@@ -36,6 +36,22 @@
 		`"site":"east","class":"std","block":2,"health":"%s","share":4,"born_ms":1500}]}}`, number, number, snapshot, state)
 }
 
+// runWithFirstEvent runs a client that knows the first event. The function that it returns ends the client.
+func runWithFirstEvent(t *testing.T, client *Client, updates recordedUpdates) (stop func()) {
+	t.Helper()
+	if err := client.ApplyKnown([]json.RawMessage{json.RawMessage(eventText(1, true, "in_service"))}); err != nil {
+		t.Fatal(err)
+	}
+	<-updates.received
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return client.Run(ctx) })
+	return func() {
+		cancel()
+		testutil.WaitCancelled(t, &group)
+	}
+}
+
 // After a gap, an invalid line, a closed connection or silence the client reconnects and asks for the events that it has
 // missed. Events that are repeated are ignored.
 func TestChannel(t *testing.T) {
@@ -105,13 +121,7 @@
 	lim.ChannelRetryDelay, lim.ChannelIdleTimeout = 0, 3600
 	var logs lockedBuffer
 	client := &Client{address: server.Addr().String(), Subscriber: updates, Limits: lim, Log: zerolog.New(&logs)}
-	if err := client.ApplyKnown([]json.RawMessage{json.RawMessage(eventText(1, true, "in_service"))}); err != nil {
-		t.Fatal(err)
-	}
-	<-updates.received
-	ctx, cancel := context.WithCancel(context.Background())
-	var group errgroup.Group
-	group.Go(func() error { return client.Run(ctx) })
+	stop := runWithFirstEvent(t, client, updates)
 	server.ExpectConnection()
 	for _, text := range []string{`{"cursor":2}`, "2", `{"cursor": 7 }`} {
 		server.SendLine(text)
@@ -120,8 +130,7 @@
 	server.SendLine(`{"cursor":1}`)
 	server.SendLine(eventText(2, false, "terminating")) // the heartbeats before did not advance the last event
 	<-updates.received
-	cancel()
-	testutil.WaitCancelled(t, &group)
+	stop()
 	trace.Recordf("told as back %d times, lost %d", strings.Count(logs.String(), "back"), strings.Count(logs.String(), "lost"))
 	trace.Check()
 }
--- a/internal/discovery/watch/late_test.go
+++ b/internal/discovery/watch/late_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"copperrock.example/copperrock/internal/harness/testutil"
 	"copperrock.example/copperrock/internal/limits"
@@ -129,17 +128,7 @@
 	lim.ChannelRetryDelay, lim.ChannelIdleTimeout, lim.ChannelDialTimeout = 0.01, testIdleTimeout.Seconds(), testIdleTimeout.Seconds()
 	var logs lockedBuffer
 	client := &Client{address: c.Addr().String(), Subscriber: updates, Limits: lim, Log: zerolog.New(&logs), dial: dial}
-	if err := client.ApplyKnown([]json.RawMessage{json.RawMessage(eventText(1, true, "in_service"))}); err != nil {
-		t.Fatal(err)
-	}
-	<-updates.received
-	ctx, cancel := context.WithCancel(context.Background())
-	var group errgroup.Group
-	group.Go(func() error { return client.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		testutil.WaitCancelled(t, &group)
-	})
+	t.Cleanup(runWithFirstEvent(t, client, updates))
 	select {
 	case <-updates.received:
 	case <-time.After(testWait):
