Settings: times are declared by schema.Seconds, declareSeconds of two packages is gone

Change: Object.Seconds, with named rules; texts, defaults and bounds stay. Measured: docs/settings.md and the golden files of the settings, which are written from the declarations, are unchanged to the byte.

--- a/internal/config/operator/deployment.go
+++ b/internal/config/operator/deployment.go
@@ -90,8 +90,8 @@
 	o.Number(&settings.EngineIdleTimeout, "idle", "idle time after which engines close a connection", schema.Default(60.0), schema.Between(0.1, 86400),
 		schema.Unit("s"))
 	schema.Integer(o, &settings.IdleConnsPerEngine, "spare", "idle connections that all gateways together keep to an engine; 0 for no limit other than idle", schema.Default(0), schema.Between(0, 100000))
-	o.Number(&settings.DialTimeout, "connect", "time for a connection to be established", schema.Default(1.0), schema.Between(0.01, 60), schema.Unit("s"))
-	o.Number(&a.MinPolledWork, "ask_from", "work of a job above which engines are probed for their load before it is dispatched, while jobs of its type take more than 1.1 times as long as they would alone; a lower value spreads the load more evenly, at the cost of more probes, and a value above 0.3 has the effect of 0.3, because engines are always probed for longer jobs", schema.Default(0.3), schema.Between(0.001, 3600), schema.Unit("s"))
+	o.Seconds(&settings.DialTimeout, "connect", "time for a connection to be established", schema.Default(1.0), schema.Between(0.01, 60))
+	o.Seconds(&a.MinPolledWork, "ask_from", "work of a job above which engines are probed for their load before it is dispatched, while jobs of its type take more than 1.1 times as long as they would alone; a lower value spreads the load more evenly, at the cost of more probes, and a value above 0.3 has the effect of 0.3, because engines are always probed for longer jobs", schema.Default(0.3), schema.Between(0.001, 3600))
 	a.EnginesReportMemory = settings.LoadPolling && slices.Contains(settings.LoadReportFields, "x0")
 }
 
@@ -99,7 +99,7 @@
 func declareRules(o *schema.Object, settings *deployment.Settings) {
 	a := &settings.Admission
 	seconds := func(target *float64, name, text string, defaultValue float64) {
-		o.Number(target, name, text, schema.Default(defaultValue), schema.Between(0, secondsPerDay), schema.Unit("s"))
+		o.Seconds(target, name, text, schema.Default(defaultValue), schema.Between(0, secondsPerDay))
 	}
 	seconds(&a.MaxRetryAfter, "come_back", "longest time that the client of a throttled job is asked to wait before it tries again; 0 if clients ignore it", 2)
 	seconds(&settings.DrainGrace, "drain", "time in which a draining engine may still get a dispatch whose write has begun; it limits dispatches.write, unless it is 0", 1)
--- a/internal/config/operator/machine.go
+++ b/internal/config/operator/machine.go
@@ -49,7 +49,7 @@
 
 // declareTime declares a time, whose default is the current value of target.
 func declareTime(o *schema.Object, target *float64, name, text string, low, high float64) {
-	o.Number(target, name, text, schema.Default(*target), schema.Between(low, high), schema.Unit("s"))
+	o.Seconds(target, name, text, schema.Default(*target), schema.Between(low, high))
 }
 
 // declareCount declares a count, whose default is the current value of target.
--- a/internal/config/operator/teams.go
+++ b/internal/config/operator/teams.go
@@ -24,7 +24,7 @@
 	options.MaxRetryAfter = s.Settings.Admission.MaxRetryAfter
 	o.String(&options.DefaultTeam, "default", "team of the jobs that name no team or an unknown one; required if there are budgets")
 	schema.Integer(o, &options.MaxUndispatched, "window", "largest number of jobs of each type that are admitted but not dispatched yet, and of all types together, not counting jobs admitted long ago; it is lower while fewer than that are dispatched in a twentieth of a second", schema.Default(8), schema.Between(1, 1000))
-	declareSeconds(o, &options.StarvationTimeout, "unserved", "time without a dispatch after which the next job of a team goes first", 30, 0.1, 60)
+	o.Seconds(&options.StarvationTimeout, "unserved", "time without a dispatch after which the next job of a team goes first", schema.Default(30.0), schema.Between(0.1, 60))
 	o.Number(&options.AgingRate, "ageing", "seconds of work that a team's next job gains in the order for each second without a dispatch", schema.Default(0.05), schema.Between(0, 10))
 	o.Number(&options.MinEstimateChange, "retell", "fraction by which an estimated wait must change to be sent to the client again", schema.Default(0.25), schema.Between(0.01, 10))
 	o.Object("preempt", "cancelling restartable jobs in favor of jobs that fit on no engine", s.declarePreemption)
@@ -48,11 +48,6 @@
 	return converted
 }
 
-// declareSeconds declares a time with the given default.
-func declareSeconds(o *schema.Object, target *float64, name, text string, defaultValue, low, high float64) {
-	o.Number(target, name, text, schema.Default(defaultValue), schema.Between(low, high), schema.Unit("s"))
-}
-
 func (s *Settings) declarePreemption(o *schema.Object) {
 	options := &s.Teams.Options
 	var classes []string
@@ -65,7 +60,7 @@
 		}
 		options.Classes[index].MayPreempt = true
 	}
-	declareSeconds(o, &options.PreemptAfter, "after", "time that such a job must have waited for an engine since its admission", 0.1, 0.01, 60)
+	o.Seconds(&options.PreemptAfter, "after", "time that such a job must have waited for an engine since its admission", schema.Default(0.1), schema.Between(0.01, 60))
 	o.Number(&options.PreemptWeightRatio, "value", "least ratio of the job's billed value per work to that of the job that is cancelled", schema.Default(3.0), schema.Between(1.5, 1e6))
 	schema.Integer(o, &options.MaxPreemptions, "times", "how often a job may be cancelled for others", schema.Default(1), schema.Between(0, 10))
 	if len(classes) == 0 {
@@ -85,7 +80,7 @@
 	o.Number(&b.Weight, "weight", "relative share of what remains; 0 gets only what no other team uses", schema.Default(1.0), schema.Between(0, 1000))
 	schema.Integer(o, &b.MaxRunning, "running", "largest number of running jobs; 0 for no limit", schema.Default(0), schema.Between(0, 1e6))
 	schema.Integer(o, &b.MaxQueued, "waiting", "largest number of waiting jobs; more are refused; 0 for no limit", schema.Default(1000), schema.Between(0, 1e6))
-	declareSeconds(o, &b.MaxWait, "longest_wait", "time after which a waiting job is refused; 0 for no limit", 0, 0, secondsPerDay)
+	o.Seconds(&b.MaxWait, "longest_wait", "time after which a waiting job is refused; 0 for no limit", schema.Default(0.0), schema.Between(0, secondsPerDay))
 	if b.FleetWide && b.Limit == 0 {
 		o.AddError("scope", "needs most_mb, which is divided among the controllers")
 	}
--- a/internal/config/schema/options.go
+++ b/internal/config/schema/options.go
@@ -140,6 +140,11 @@
 	}
 }
 
+// Seconds declares a time in seconds.
+func (o *Object) Seconds(target *float64, name, text string, rules ...Rule) {
+	o.Number(target, name, text, append(rules, Unit("s"))...)
+}
+
 func (o *Object) parseNumber(name string, value *hujson.Value, literal string, r optionRules) float64 {
 	v, err := strconv.ParseFloat(literal, 64)
 	switch {
--- a/internal/fleet/declare.go
+++ b/internal/fleet/declare.go
@@ -54,11 +54,11 @@
 }
 
 func (o *Options) declareTiming(section *schema.Object) {
-	section.Number(&o.Lease, "lease", "time for which a controller may use its quotas without an answer from the leader; a lost controller's quotas are divided among the others after lease and linger", schema.Default(2.0), schema.Between(0.2, 600), schema.Unit("s"))
+	section.Seconds(&o.Lease, "lease", "time for which a controller may use its quotas without an answer from the leader; a lost controller's quotas are divided among the others after lease and linger", schema.Default(2.0), schema.Between(0.2, 600))
 	section.Number(&o.MaxDrift, "drift", "largest fraction by which one machine's clock may run faster than another's", schema.Default(0.001), schema.Between(0, 0.1))
-	section.Number(&o.Linger, "linger", "longest time for which the jobs of a lost controller may still run; the longest job timeout is safe", schema.Default(30.0), schema.Between(0, 86400), schema.Unit("s"))
-	section.Number(&o.HeartbeatInterval, "beat", "interval of the leader's heartbeats; another leader is elected after about ten are missed", schema.Default(0.05), schema.Between(0.005, 5), schema.Unit("s"))
-	section.Number(&o.RebalanceInterval, "divide", "interval at which quotas are divided among the controllers again", schema.Default(0.25), schema.Between(0.01, 60), schema.Unit("s"))
+	section.Seconds(&o.Linger, "linger", "longest time for which the jobs of a lost controller may still run; the longest job timeout is safe", schema.Default(30.0), schema.Between(0, 86400))
+	section.Seconds(&o.HeartbeatInterval, "beat", "interval of the leader's heartbeats; another leader is elected after about ten are missed", schema.Default(0.05), schema.Between(0.005, 5))
+	section.Seconds(&o.RebalanceInterval, "divide", "interval at which quotas are divided among the controllers again", schema.Default(0.25), schema.Between(0.01, 60))
 }
 
 func (o *Options) declareDivision(section *schema.Object) {
--- a/internal/sharedwork/options.go
+++ b/internal/sharedwork/options.go
@@ -63,10 +63,10 @@
 
 // Declare declares the settings of the section.
 func (d *Options) Declare(o *schema.Object, classes []Class, teams []string) {
-	declareSeconds(o, &d.HealthCheckInterval, "probe", "interval between polls of an engine for its load, by one controller for all; 0 for none", 0, 0, maxHealthCheckInterval)
+	o.Seconds(&d.HealthCheckInterval, "probe", "interval between polls of an engine for its load, by one controller for all; 0 for none", schema.Default(0.0), schema.Between(0, maxHealthCheckInterval))
 	o.Bool(&d.ReduceWidelyPolled, "sparing", "engines that three or more controllers poll for their own jobs are probed a quarter as often: fewer polls, but older load reports for the others", schema.Default(false))
 	o.Bool(&d.PublishList, "list", "one controller reads the file of engines and publishes it to the others, which fall back to reading it themselves", schema.Default(false))
-	declareSeconds(o, &d.ListFallback, "fallback", "time without contact with the fleet after which a controller uses the list that it has read itself", 10, 0.1, secondsPerDay)
+	o.Seconds(&d.ListFallback, "fallback", "time without contact with the fleet after which a controller uses the list that it has read itself", schema.Default(10.0), schema.Between(0.1, secondsPerDay))
 	o.Bool(&d.SendFencingToken, "fence", "engines get a field fence with each dispatch of a scheduled job, JOB:NUMBER, and refuse a number lower than one they have seen for that job", schema.Default(false))
 	o.List("jobs", "statements that the fleet runs on a schedule, each occurrence by one controller", maxJobs, func(o *schema.Object, _ int) {
 		j := declareJob(o)
@@ -75,10 +75,6 @@
 	})
 }
 
-func declareSeconds(o *schema.Object, target *float64, name, text string, defaultValue, minimum, maximum float64) {
-	o.Number(target, name, text, schema.Default(defaultValue), schema.Between(minimum, maximum), schema.Unit("s"))
-}
-
 // declareJob declares the settings of one job.
 func declareJob(o *schema.Object) Job {
 	var j Job
@@ -90,12 +86,12 @@
 	o.String(&j.Statement, "statement", "statement to run", schema.Required(), schema.MaxLength(maxStatement))
 	o.String(&j.Class, "type", "reservation type", schema.Required())
 	o.String(&j.Team, "team", "team whose budget the job counts against")
-	declareSeconds(o, &j.Timeout, "timeout", "job timeout; 0 for that of its type", 0, 0, secondsPerDay)
-	declareSeconds(o, &j.Work, "work", "estimated work; 0 if not known", 0, 0, secondsPerDay)
+	o.Seconds(&j.Timeout, "timeout", "job timeout; 0 for that of its type", schema.Default(0.0), schema.Between(0, secondsPerDay))
+	o.Seconds(&j.Work, "work", "estimated work; 0 if not known", schema.Default(0.0), schema.Between(0, secondsPerDay))
 	o.Number(&j.Memory, "memory_mb", "estimated memory; 0 if not known", schema.Default(0.0), schema.Between(0, maxMemory), schema.Unit("MB"))
 	o.String(&late, "late", "what to do with occurrences that no controller could run in time: skip them, run the latest of them late, or run each", schema.Default("skip"), schema.OneOf("skip", "latest", "each"))
-	declareSeconds(o, &grace, "grace", "time after which an occurrence that has not started is late", 60, 1, secondsPerDay)
-	declareSeconds(o, &retryDelay, "rest", "delay before an occurrence that did not run is tried again", 5, minRetryDelay, secondsPerDay)
+	o.Seconds(&grace, "grace", "time after which an occurrence that has not started is late", schema.Default(60.0), schema.Between(1, secondsPerDay))
+	o.Seconds(&retryDelay, "rest", "delay before an occurrence that did not run is tried again", schema.Default(5.0), schema.Between(minRetryDelay, secondsPerDay))
 	schema.Integer(o, &j.MaxAttempts, "tries", "largest number of tries of one occurrence", schema.Default(5), schema.Between(1, maxJobAttempts))
 	if schedule != "" {
 		parsed, err := parseSchedule(schedule, zone)
--- a/internal/storage/requestlog/options.go
+++ b/internal/storage/requestlog/options.go
@@ -54,7 +54,7 @@
 // Declare declares the settings of the section.
 func (o *Options) Declare(s *schema.Object) {
 	seconds := func(target *float64, name, text string, fallback, low, high float64) {
-		s.Number(target, name, text, schema.Default(fallback), schema.Between(low, high), schema.Unit("s"))
+		s.Seconds(target, name, text, schema.Default(fallback), schema.Between(low, high))
 	}
 	size := func(target *float64, name, text, unit string, fallback, low, high float64) {
 		s.Number(target, name, text, schema.Default(fallback), schema.Between(low, high), schema.Unit(unit))
