Test of a slow line: an idle timeout of 1 s, so that a busy machine can't fail it

Cause: TestSlowLine wants one connection, and with pieces 10 ms apart a pause of 100 ms of the test's own process would open a second one. Change: idle timeout 1 s, line 3 s long in 100 pieces; the check is the same.

--- a/internal/discovery/watch/late_test.go
+++ b/internal/discovery/watch/late_test.go
@@ -28,6 +28,7 @@
 // slowChannel is a server of the command channel that has two events, of which the client knows the first.
 type slowChannel struct {
 	net.Listener
+	idle    time.Duration // the client's idle and dial timeout, testIdleTimeout if 0
 	delay   time.Duration // how late everything arrives, on each connection
 	pieces  int           // number of pieces in which an event is sent, over the delay; 0 for a whole
 	isDead  func(n int) bool
@@ -124,8 +125,11 @@
 	trace := testutil.NewTrace(t)
 	startSlowChannel(t, c)
 	updates := recordedUpdates{trace, make(chan bool, 10)}
+	if c.idle == 0 {
+		c.idle = testIdleTimeout
+	}
 	lim := limits.For(64, 256)
-	lim.ChannelRetryDelay, lim.ChannelIdleTimeout, lim.ChannelDialTimeout = 0.01, testIdleTimeout.Seconds(), testIdleTimeout.Seconds()
+	lim.ChannelRetryDelay, lim.ChannelIdleTimeout, lim.ChannelDialTimeout = 0.01, c.idle.Seconds(), c.idle.Seconds()
 	var logs lockedBuffer
 	client := &Client{address: c.Addr().String(), Subscriber: updates, Limits: lim, Log: zerolog.New(&logs), dial: dial}
 	t.Cleanup(runWithFirstEvent(t, client, updates))
@@ -174,9 +178,10 @@
 }
 
 // A line takes longer than the idle timeout to arrive, as a long list over a slow network does. Guards against the client
-// closing the connection in the middle of it, each time, and against further connections that would slow it down.
+// closing the connection in the middle of it, each time, and against further connections that would slow it down. The idle timeout
+// is far longer than the time between two pieces, also on a busy machine.
 func TestSlowLine(t *testing.T) {
-	channel := &slowChannel{delay: testDelay, pieces: 40}
+	channel := &slowChannel{idle: 10 * testIdleTimeout, delay: 30 * testIdleTimeout, pieces: 100}
 	followSlowChannel(t, channel, nil)
 	if opened, _ := channel.counts(); opened != 1 {
 		t.Errorf("%d connections were opened, want 1", opened)
