Command channel: the end of an older connection opens no other, so one-connection servers are heard

Cause: opens a connection beside a silent one. Such a server then closes the older one; its end was followed by another connection after 0.1 s, which closed the newer one before its first line, and so on.

Change: only the end of the newest connection is followed by another at once. Where an older one ends and nothing arrives, the idle timeout is doubled once, up to the timeout of a connection, until a line arrives. Why it works: the newest connection is not disturbed for ever longer times, so it outlives any delay; where the server keeps all connections, nothing changes.

--- a/internal/discovery/watch/late_test.go
+++ b/internal/discovery/watch/late_test.go
@@ -32,11 +32,13 @@
 	delay   time.Duration // how late everything arrives, on each connection
 	pieces  int           // number of pieces in which an event is sent, over the delay; 0 for a whole
 	isDead  func(n int) bool
+	newest  bool // whether only the client's newest connection stays open
 	serving sync.WaitGroup
 
 	mu     sync.Mutex
 	opened int // connections so far
 	open   int
+	last   net.Conn // the newest connection, if only that stays open
 }
 
 func startSlowChannel(t *testing.T, c *slowChannel) *slowChannel {
@@ -66,6 +68,7 @@
 	defer peer.Close()
 	n := c.count(1)
 	defer c.count(-1)
+	c.closeOlder(peer)
 	in := bufio.NewReader(peer)
 	var last int
 	if _, err := fmt.Fscanf(in, "resume %d\n", &last); err != nil {
@@ -113,6 +116,16 @@
 	return c.opened
 }
 
+// closeOlder closes the connection before the given one, if only the newest stays open.
+func (c *slowChannel) closeOlder(newest net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.newest && c.last != nil {
+		c.last.Close()
+	}
+	c.last = newest
+}
+
 func (c *slowChannel) counts() (opened, open int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -202,6 +215,14 @@
 	channel.waitForOneConnection(t)
 }
 
+// The channel is late, and closes the older connection of a client when it connects again. Guards against the client replacing
+// the connections that are closed so, each time, before their first line arrives.
+func TestLateChannelWithOneConnection(t *testing.T) {
+	channel := &slowChannel{delay: testDelay, newest: true}
+	followSlowChannel(t, channel, nil)
+	channel.waitForOneConnection(t)
+}
+
 // logLine is a line of the client's log.
 type logLine struct {
 	Message string  `json:"message"`
--- a/internal/discovery/watch/reconnect/set.go
+++ b/internal/discovery/watch/reconnect/set.go
@@ -5,7 +5,8 @@
 // is opened beside it. As soon as a line arrives on one of them, the connections opened before it are closed: the newer one carries
 // everything that they still could. A connection that stays silent is closed in the end, but while nothing arrives at all, the
 // ones that remain are given twice as long each time. Thus the delay of the server's data may be of any length, and as long as
-// nothing arrives, there is always a connection that was opened a short time ago.
+// nothing arrives, there is always a connection that was opened a short time ago. Where the server closes older connections for a
+// newer one, the time to the next one is doubled as well.
 //
 // The package does no I/O and reads no clock. Times are in seconds, counted from any fixed point. A Set is not safe for concurrent
 // use.
@@ -16,12 +17,12 @@
 	"slices"
 )
 
-// backoffFactor is the factor by which the timeout of connections grows when one of them is closed while no lines arrive.
+// backoffFactor is the factor by which a timeout grows when a connection is closed while no lines arrive.
 const backoffFactor = 2
 
 // Options are the bounds of a Set. Times are in seconds.
 type Options struct {
-	IdleTimeout float64 // silence of all connections after which another one is opened
+	IdleTimeout float64 // silence of all connections after which another one is opened, at first
 	DialTimeout float64 // time after which another connection is opened beside one that is not established yet
 	RetryDelay  float64 // time from the end of a connection to the next one, unless lines arrive on others
 	ConnTimeout float64 // silence of a connection after which it is closed, at first
@@ -45,6 +46,8 @@
 	lastID      ID
 	openAt      float64 // when another connection is opened unless something arrives
 	connTimeout float64 // silence of a connection after which it is closed
+	idleTimeout float64 // silence of all connections after which another one is opened
+	extendedFor ID      // newest connection when idleTimeout was extended, 0 for none
 }
 
 type conn struct {
@@ -56,7 +59,7 @@
 
 // New returns a set without connections, which opens the first one at the next Tick.
 func New(options Options) *Set {
-	return &Set{options: options, openAt: math.Inf(-1), connTimeout: options.ConnTimeout}
+	return &Set{options: options, openAt: math.Inf(-1), connTimeout: options.ConnTimeout, idleTimeout: options.IdleTimeout}
 }
 
 // Tick decides what is due at the time now. It must be called at NextTick, and may be called at other times.
@@ -113,7 +116,7 @@
 		return nil
 	}
 	c.hasLine, c.lineAt, c.activeAt = true, now, now
-	s.connTimeout = s.options.ConnTimeout
+	s.connTimeout, s.idleTimeout, s.extendedFor = s.options.ConnTimeout, s.options.IdleTimeout, 0
 	s.postpone(now)
 	for s.conns[0].id != id {
 		older = append(older, s.conns[0].id)
@@ -125,15 +128,19 @@
 // Ended records that a connection has failed, or was closed by the server. It reports whether nothing arrives any more on other
 // connections.
 func (s *Set) Ended(id ID, now float64) (lost bool) {
-	c := s.find(id)
-	if c == nil {
+	if s.find(id) == nil {
 		return false
 	}
+	isNewest := id == s.lastID
 	s.conns = slices.DeleteFunc(s.conns, func(c conn) bool { return c.id == id })
-	if s.isAlive(now) {
+	switch {
+	case s.isAlive(now):
 		return false
+	case isNewest || len(s.conns) == 0:
+		s.openAt = min(s.openAt, now+s.options.RetryDelay)
+	default:
+		s.extendIdleTimeout()
 	}
-	s.openAt = min(s.openAt, now+s.options.RetryDelay)
 	return true
 }
 
@@ -160,9 +167,21 @@
 	return closed
 }
 
+// extendIdleTimeout gives the newest connection longer, once, before another one is opened. It is called when the server has closed
+// an older one: it may accept only one connection of each client, and would close the newest one for another.
+func (s *Set) extendIdleTimeout() {
+	newest := s.conns[len(s.conns)-1]
+	if s.extendedFor == newest.id {
+		return
+	}
+	s.extendedFor = newest.id
+	s.idleTimeout = min(s.idleTimeout*backoffFactor, s.connTimeout)
+	s.openAt = max(s.openAt, newest.activeAt+s.idleTimeout)
+}
+
 // postpone makes the set wait for the idle timeout before it opens another connection.
 func (s *Set) postpone(now float64) {
-	s.openAt = now + s.options.IdleTimeout
+	s.openAt = now + s.idleTimeout
 }
 
 // isAlive reports whether a line has arrived within the idle timeout on a connection that is still open.
--- a/internal/discovery/watch/reconnect/set_test.go
+++ b/internal/discovery/watch/reconnect/set_test.go
@@ -21,6 +21,8 @@
 	lateUntil float64
 	dialTime  float64 // time for a connection to be established
 	deadUntil float64 // nothing sent at lateFrom or later arrives on connections opened before this time
+	exclusive bool    // whether the server closes the older connections when another one is established
+	closeTime float64 // time until the client notices that
 
 	now    float64
 	set    *Set
@@ -35,6 +37,7 @@
 	arrivals      []float64 // when the lines on their way arrive
 	sentAt        []float64 // when they were sent
 	newestLine    float64   // when the newest line that has arrived was sent
+	closedAt      float64   // when the server closes the connection
 	established   bool
 }
 
@@ -55,7 +58,7 @@
 	decision := s.set.Tick(s.now)
 	s.close(decision.Close)
 	if decision.Open != 0 {
-		s.conns[decision.Open] = &simulatedConn{openedAt: s.now, establishedAt: s.now + s.dialTime}
+		s.conns[decision.Open] = &simulatedConn{openedAt: s.now, establishedAt: s.now + s.dialTime, closedAt: math.Inf(1)}
 		s.opened = append(s.opened, s.now)
 	}
 	if len(s.conns) > options.MaxConns {
@@ -65,7 +68,7 @@
 
 // send sends the heartbeat that is due on a connection, the first one as soon as it is established.
 func (s *simulatedServer) send(c *simulatedConn) {
-	if s.now < c.establishedAt+heartbeat*float64(c.sent) {
+	if s.now < c.establishedAt+heartbeat*float64(c.sent) || s.now >= c.closedAt {
 		return
 	}
 	c.sent++
@@ -89,6 +92,12 @@
 	if !c.established && s.now >= c.establishedAt {
 		c.established = true
 		s.set.Established(id, s.now)
+		s.closeOlder(id)
+	}
+	if s.now >= c.closedAt+s.closeTime && len(c.arrivals) == 0 {
+		delete(s.conns, id)
+		s.set.Ended(id, s.now)
+		return
 	}
 	for len(c.arrivals) > 0 && c.arrivals[0] <= s.now {
 		c.newestLine = c.sentAt[0]
@@ -97,6 +106,15 @@
 	}
 }
 
+// closeOlder closes the connections before the given one, if the server accepts only one from each client.
+func (s *simulatedServer) closeOlder(newest ID) {
+	for id, c := range s.conns {
+		if s.exclusive && id < newest {
+			c.closedAt = min(c.closedAt, s.now)
+		}
+	}
+}
+
 func (s *simulatedServer) close(ids []ID) {
 	for _, id := range ids {
 		delete(s.conns, id)
@@ -185,6 +203,26 @@
 	})
 }
 
+// Guards against a server that closes a client's older connection for a newer one being asked again and again: another connection
+// is opened after the idle timeout at the soonest, and ever later until the server's lines arrive on one.
+func TestExclusiveServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulatedServer()
+		s.exclusive = true
+		s.runUntil(t, 3, 10)
+		s.lateFrom = s.now
+		s.delay = rapid.Float64Range(0, options.ConnTimeout-heartbeat).Draw(t, "delay")
+		s.closeTime = rapid.Float64Range(0, s.delay).Draw(t, "close time")
+		s.deadUntil = s.lateFrom + rapid.Float64Range(0, 4).Draw(t, "dead for")
+		s.runUntil(t, s.lateFrom+20, s.lateFrom+20+6*(s.delay+options.ConnTimeout))
+		for i := 1; i < len(s.opened); i++ {
+			if gap := s.opened[i] - s.opened[i-1]; gap < options.IdleTimeout {
+				t.Fatalf("a connection was opened %.2f s after the one before it, want %.2f s at least", gap, options.IdleTimeout)
+			}
+		}
+	})
+}
+
 // A connection that fails is replaced after the retry delay, unless a line has just arrived on another one.
 func TestEnded(t *testing.T) {
 	set := New(options)
