--- a/review/trials2/main.go
+++ b/review/trials2/main.go
@@ -1,4 +1,4 @@
-// Command trials2 plays the cases of the second review. Its argument is the number of a case. It starts the project's own
+// Command trials2 plays the cases of the second review. Its arguments are the number of a case and the file for its record. It starts the project's own
 // controllers as separate processes, with the run command of deploy/balancer.toml; engines and clients are small stand-ins
 // in this process that follow the pages. All addresses are loopback addresses on free ports, all files but record.txt lie in
 // a temporary folder.
@@ -41,11 +41,11 @@
 type unable string
 
 func main() {
-	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: trials2 NUMBER, from the root of the repository")
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: trials2 NUMBER review/NUMBER/record.txt, from the root of the repository")
 		os.Exit(2)
 	}
-	number := os.Args[1]
+	number, record := os.Args[1], os.Args[2]
 	root, err := os.Getwd()
 	if err != nil {
 		fmt.Println(err)
@@ -75,7 +75,7 @@
 	t.mu.Lock()
 	text := strings.Join(t.lines, "\n") + "\n"
 	t.mu.Unlock()
-	if err := os.WriteFile(filepath.Join(root, "review", number, "record.txt"), []byte(text), 0o644); err != nil {
+	if err := os.WriteFile(record, []byte(text), 0o644); err != nil {
 		fmt.Println(err)
 	}
 	_ = os.RemoveAll(folder)
