--- a/review/trials2/case9.go
+++ b/review/trials2/case9.go
@@ -2,67 +2,80 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"strings"
 	"syscall"
 	"time"
 )
 
-func init() { cases["9"] = sharedListTurnedOff }
+func init() { cases["9"] = firstOccurrence }
 
-// sharedListTurnedOff takes the shared reading of the list of engines out of the settings of a fleet, with a higher generation,
-// and restarts the first controller with that. Then the file drops an engine. The controllers that are still to be restarted
-// read the file, and have to stop sending to the engine.
-func sharedListTurnedOff(t *trial) {
-	one, two := t.startEngine("e-1"), t.startEngine("e-2")
-	list := t.write("engines.jsonc", engineList(1, one, two))
+// firstOccurrence kills one of three controllers, the owner of a scheduled job, a second before the job is due for the first time,
+// and starts it again two seconds later. "late" says that the occurrence runs later.
+func firstOccurrence(t *trial) {
+	e := t.startEngine("e-1")
+	list := t.write("engines.jsonc", engineList(1, e))
 	f := t.newFleet("g-1", "g-2", "g-3")
-	write := func(name string, generation int, duties string) string {
-		return t.write(fmt.Sprintf("%s-%d.jsonc", name, generation), settings(name, f.listen[name], list, 3, f.section(name, generation), duties))
+	const name = "minute-load"
+	job := `"duties": {"jobs": [{"name": "` + name + `", "schedule": "* * * * *", "type": "load", "statement": "call staging.load_all() /* ms=300 */", "late": "latest"}]}`
+	file := func(name string) string {
+		text := settings(name, f.listen[name], list, 3, f.section(name, 1), job)
+		return t.write(name+".jsonc", strings.Replace(text, `"form": "json"`, `"form": "json", "burst": 1000`, 1)) // no line is left out
 	}
-	const shared, off = `"duties": {"list": true}`, `"duties": {}`
 	for _, name := range f.names {
-		f.init(write(name, 1, shared))
+		f.init(file(name))
 	}
-	for _, name := range f.names {
-		f.processes[name] = t.startController(name, write(name, 1, shared))
-	}
-	for _, name := range f.names {
-		t.require(t.ready(f.listen[name], 10*time.Second), "%s is not ready", name)
-		t.require(t.wait(15*time.Second, func() bool { return f.processes[name].hasLogged("published endpoint list applied") }), "no list is published to %s", name)
+	due := time.Now().Truncate(time.Minute).Add(time.Minute)
+	if time.Until(due) < 14*time.Second { // the fleet has to be up before it
+		time.Sleep(time.Until(due) + time.Second)
+		due = due.Add(time.Minute)
 	}
-	time.Sleep(time.Second)
-
-	generation, duties := 1, shared
-	if t.trouble {
-		generation, duties = 2, off
-	}
-	t.signal(f.processes["g-1"], syscall.SIGTERM)
-	t.require(f.processes["g-1"].hasEnded(8*time.Second), "g-1 has not ended")
-	f.processes["g-1"] = t.startController("g-1", write("g-1", generation, duties))
-	t.require(t.ready(f.listen["g-1"], 10*time.Second), "g-1 is not ready")
-	time.Sleep(6 * time.Second) // the shard of the list has an owner again
-
-	waiting := f.processes["g-2"] // still to be restarted
-	t.write("engines.jsonc", engineList(2, one))
-	t.require(t.wait(5*time.Second, func() bool { return waiting.hasLogged(`"generation":2`) }), "g-2 has not read the file")
-	told := time.Now()
-	t.log("g-2 has read the list without e-2")
-	time.Sleep(3 * time.Second)
-	client := t.dial("client of g-2", f.listen["g-2"])
-	var lookups []*request
-	for n := range 300 { // each reads another data set
-		lookups = append(lookups, client.send("lookup", fmt.Sprintf("select a from sales_9%03d.orders /* ms=200 */", n), 2*time.Second))
-		time.Sleep(30 * time.Millisecond)
-	}
-	for _, r := range lookups {
-		r.wait(3 * time.Second)
+	start := func(names ...string) {
+		for _, name := range names {
+			f.processes[name] = t.startController(name, file(name))
+		}
+		for _, name := range names {
+			t.require(t.ready(f.listen[name], 10*time.Second), "%s is not ready", name)
+			t.require(t.wait(15*time.Second, func() bool { return f.processes[name].hasLogged("joined the fleet") }), "%s has not joined", name)
+		}
 	}
-	late, last := 0, 0.0
-	for _, s := range with("sales_9", two) {
-		if s.at.After(told.Add(1050 * time.Millisecond)) {
-			late, last = late+1, s.at.Sub(told).Seconds()
+	start(f.names...)
+	gained := fmt.Sprintf(`"duty":"jobs","slice":%d,`, slice(name))
+	owner := ""
+	t.wait(8*time.Second, func() bool {
+		for _, name := range f.names {
+			if f.processes[name].hasLogged(gained) {
+				owner = name
+			}
 		}
+		return owner != ""
+	})
+	t.require(owner != "" && time.Until(due) > 1500*time.Millisecond, "the job has no owner in time")
+	t.log("%s is due at %s, its owner is %s", name, due.Format(time.TimeOnly), owner)
+	time.Sleep(time.Until(due.Add(-time.Second)))
+	if t.trouble {
+		t.signal(f.processes[owner], syscall.SIGKILL)
+		t.require(f.processes[owner].hasEnded(5*time.Second), "%s has not ended", owner)
+		time.Sleep(time.Until(due.Add(time.Second)))
+		start(owner)
 	}
-	if late > 0 {
-		t.breaks("%d of 300 lookups went to e-2, the last %.1f s after g-2 had read the list without it", late, last)
+	time.Sleep(time.Until(due.Add(23 * time.Second)))
+	history, _ := t.tool("duties", "history", "--settings", file(f.names[0]))
+	if n := len(with("load_all", e)); n == 0 {
+		listed := strings.Contains(history, fmt.Sprint(due.Unix()))
+		t.breaks("23 s after it was due the occurrence has not come to the engine; listed by duties history: %v", listed)
 	}
 }
+
+// slice returns the number of the slice of the duty jobs that a job belongs to, as the program's log has it.
+func slice(job string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(job))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x % 64
+}
--- a/review/trials2/main.go
+++ b/review/trials2/main.go
@@ -1,4 +1,4 @@
-// Command trials2 plays the cases of the second review. Its arguments are the number of a case and the file for its record. It starts the project's own
+// Command trials2 plays the cases and trials of the second review. Its arguments are the number of a case or the name of a trial, and the file for its record. It starts the project's own
 // controllers as separate processes, with the run command of deploy/balancer.toml; engines and clients are small stand-ins
 // in this process that follow the pages. All addresses are loopback addresses on free ports, all files but record.txt lie in
 // a temporary folder.
@@ -42,7 +42,7 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: trials2 NUMBER review/NUMBER/record.txt, from the root of the repository")
+		fmt.Println("usage: trials2 CASE FILE, from the root of the repository: the number of a case or the name of a trial, and the file for the record")
 		os.Exit(2)
 	}
 	number, record := os.Args[1], os.Args[2]
--- a/review/trials2/settings.go
+++ b/review/trials2/settings.go
@@ -48,6 +48,7 @@
 	listen    map[string]string
 	voters    string
 	processes map[string]*process
+	clients   []*client
 }
 
 func (t *trial) newFleet(names ...string) *fleet {
