A client that has left frees its place among the connections at once

Cause: conn.serve took the connection out of the server's table only after its last request had ended, which is when its attempts have ended at the engines. The socket was closed long before, but the entry counted against the limit and could not be evicted, since it had open requests.

TestDisconnectedClientsFreeTheirPlaces with a handler that ignores the cancellation: failed on the code before after 10 s in each of its four shapes (close, reset, close after invalid bytes, close inside a message).

Change: whatever ends a connection ends its context, and that runs one function, disconnect: it closes the socket, drops the open requests, ends the writer, frees its queue, and takes the connection out of the table. The requests keep their place under the gateway's own limit on open requests, so memory stays bounded. No request that is read afterwards is accepted. The new log line 'no connection accepted' shows the state that could not be told from the log.

--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -24,16 +24,16 @@
 	peer    net.Conn
 	aborted <-chan struct{} // closed when the client has gone, a write has failed or the server is stopped
 
-	responses chan frame // responses to requests; has capacity for all that can be pending
-	replies   chan frame // frames sent by the reader; unbuffered because a client may send many messages at once
+	replies chan frame // frames sent by the reader; unbuffered because a client may send many messages at once
 
 	mu           sync.Mutex
+	responses    chan frame // responses to requests; has capacity for all that can be pending; nil once the writer is to end
 	inFlight     inFlight
 	overload     overload
 	sentMessage  bool // the client has sent a complete message
 	midMessage   bool // a message has begun to arrive and has not been handled yet
 	shuttingDown bool // further requests are rejected
-	evicted      bool // no further message is accepted
+	closed       bool // peer is closed; no further message is accepted
 	lastUsed     time.Time
 }
 
@@ -79,9 +79,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.aborted = ctx.Done()
-	stop := context.AfterFunc(ctx, func() { c.peer.Close() })
+	stop := context.AfterFunc(ctx, c.disconnect)
 	var requests, writer, rest errgroup.Group
-	writer.Go(func() error { return c.writeLoop(cancel) })
+	responses := c.responses
+	writer.Go(func() error { return c.writeLoop(responses, cancel) })
 	err := c.readLoop(ctx, &requests)
 	if clientGone(err) {
 		c.logOpenRequests(err)
@@ -94,7 +95,7 @@
 		c.discardRest(&rest, cancel)
 	}
 	wait(&requests)
-	close(c.responses)
+	c.endResponses()
 	wait(&writer)
 	c.closeGracefully(&rest)
 	stop()
@@ -102,6 +103,29 @@
 	wait(&rest)
 }
 
+// disconnect closes the connection and cancels its open requests, which get no response. It is called whenever the context of
+// the connection ends, for whatever reason. The requests themselves may take longer to end, as an engine that cannot cancel
+// an attempt runs it to its end; from here on they use neither a place among the server's connections nor buffers of this one.
+func (c *conn) disconnect() {
+	c.peer.Close()
+	c.mu.Lock()
+	c.closed = true
+	c.inFlight.dropAll()
+	c.mu.Unlock()
+	c.endResponses()
+	c.server.forget(c)
+}
+
+// endResponses closes c.responses, so that the writer ends after the responses that are in it.
+func (c *conn) endResponses() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.responses != nil {
+		close(c.responses)
+		c.responses = nil
+	}
+}
+
 // wait waits for goroutines that have already handled their errors.
 func wait(group *errgroup.Group) { _ = group.Wait() }
 
@@ -174,7 +198,7 @@
 }
 
 // beginRead sets the timeout, in seconds, of the next read. midMessage is whether a message has begun to arrive. beginRead
-// returns false if the connection has been evicted.
+// returns false if the connection has been closed.
 func (c *conn) beginRead(timeout float64, midMessage bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -184,5 +208,5 @@
 	c.lastUsed, c.midMessage = time.Now(), midMessage
 	c.peer.SetReadDeadline(c.lastUsed.Add(limits.Duration(timeout)))
 	c.scheduleFinalRead()
-	return !c.evicted
+	return !c.closed
 }
--- a/internal/frontend/msgpackrpc/eviction.go
+++ b/internal/frontend/msgpackrpc/eviction.go
@@ -87,9 +87,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.evicted = c.inFlight.empty()
-	if c.evicted {
+	c.closed = c.inFlight.empty()
+	if c.closed {
 		c.peer.Close()
 	}
-	return c.evicted
+	return c.closed
 }
--- a/internal/frontend/msgpackrpc/inflight.go
+++ b/internal/frontend/msgpackrpc/inflight.go
@@ -46,6 +46,14 @@
 	}
 }
 
+// dropAll closes all open requests without a response.
+func (f *inFlight) dropAll() {
+	for _, r := range f.requests {
+		r.answered = true
+		f.drop(r)
+	}
+}
+
 // written records that a response has been written.
 func (f *inFlight) written() { f.pending-- }
 
--- a/internal/frontend/msgpackrpc/message.go
+++ b/internal/frontend/msgpackrpc/message.go
@@ -102,7 +102,7 @@
 
 const (
 	requestAccepted requestVerdict = iota
-	requestOnEvictedConn
+	requestOnClosedConn
 	requestDuplicate // its message ID is that of an open request
 	requestMalformed
 	requestOverLimit // it exceeds one of the server's limits, or the server is shutting down
@@ -115,8 +115,8 @@
 	defer c.mu.Unlock()
 	duplicate = c.inFlight.find(r.id)
 	switch {
-	case c.evicted:
-		return requestOnEvictedConn, duplicate
+	case c.closed:
+		return requestOnClosedConn, duplicate
 	case duplicate != nil:
 		return requestDuplicate, duplicate
 	case params.malformed || params.invalidPart != "":
@@ -136,7 +136,7 @@
 // refuse answers a request that is not accepted. An error ends the connection.
 func (c *conn) refuse(r *responder, verdict requestVerdict, duplicate *responder, invalidPart string) error {
 	switch verdict {
-	case requestOnEvictedConn: // the client sees that the connection is closed and sends the request again
+	case requestOnClosedConn: // the client sees that the connection is closed and sends the request again
 		return errConnClosing
 	case requestDuplicate: // the client could not tell which of the two requests a response belongs to
 		duplicate.fail(reasonDuplicateID)
--- a/internal/frontend/msgpackrpc/races_test.go
+++ b/internal/frontend/msgpackrpc/races_test.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"copperrock.example/copperrock/internal/gateway"
 	"copperrock.example/copperrock/internal/harness/testutil"
 	"copperrock.example/copperrock/internal/limits"
 )
@@ -186,6 +187,64 @@
 	return true
 }
 
+// stubbornHandler serves requests as an engine that can't be cancelled makes a gateway do it: Serve returns when the test
+// releases it, whether or not the client is still there.
+type stubbornHandler struct{ fakeHandler }
+
+func (h stubbornHandler) Serve(ctx context.Context, r *gateway.Request, responder gateway.Responder) {
+	<-h.release
+	h.fakeHandler.Serve(ctx, r, responder)
+}
+
+// Guards against connections that are not accepted because those of clients that have left count until their requests end.
+func TestDisconnectedClientsFreeTheirPlaces(t *testing.T) {
+	resets := func(c *testutil.Client) { // the client goes without reading what the server has sent
+		if err := c.Conn.(*net.TCPConn).SetLinger(0); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	}
+	for name, leave := range map[string]func(*testutil.Client){
+		"closes": func(c *testutil.Client) { c.Close() },
+		"resets": resets,
+		"closes after invalid bytes": func(c *testutil.Client) {
+			write(t, c, bytes.Repeat([]byte{0xc1}, 10))
+			c.ReadAnswer()
+			c.Close()
+		},
+		"closes behind a message without an end": func(c *testutil.Client) {
+			write(t, c, testutil.DecodeHex("94 00 07"))
+			c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const clients = 4
+			handler := stubbornHandler{newFakeHandler()}
+			x, _, s, address := startServer(t, func(l *limits.Limits) {
+				l.MaxClientConns, l.ClientConnsSoftLimit, l.ClientConnsHardLimit = clients, clients, clients+1
+			}, func(s *Server) { s.Handler = handler })
+			t.Cleanup(func() { close(handler.release) })
+			for round := range 3 {
+				var leaving []*testutil.Client
+				for id := range clients {
+					c := x.Dial(address)
+					c.SendRequest(round*clients+id+1, "report", 20000, "wait")
+					c.Send(0, 99, "ping", []any{map[string]string{}})
+					c.ReadPong() // the request has been read
+					leaving = append(leaving, c)
+				}
+				for _, c := range leaving {
+					leave(c)
+				}
+			}
+			late := x.Dial(address)
+			late.Send(0, 1, "ping", []any{map[string]string{}})
+			late.ReadPong()
+			waitFor(t, func() bool { return s.busyConns.Load() == 0 })
+		})
+	}
+}
+
 // A request that arrives while the server begins to shut down gets exactly one response. If it is sent concurrently with
 // BeginShutdown, the client may see the end of the connection instead.
 func TestRequestRacesShutdown(t *testing.T) {
--- a/internal/frontend/msgpackrpc/responder.go
+++ b/internal/frontend/msgpackrpc/responder.go
@@ -69,10 +69,11 @@
 	f.pending = c.inFlight.answered(r)
 	c.lastUsed = time.Now()
 	c.scheduleFinalRead()
-	c.mu.Unlock()
 	if f.pending {
 		c.respond(f)
-	} else { // the request was never opened; this is the reader's goroutine
+	}
+	c.mu.Unlock()
+	if !f.pending { // the request was never opened; this is the reader's goroutine
 		c.reply(f)
 	}
 }
--- a/internal/frontend/msgpackrpc/server.go
+++ b/internal/frontend/msgpackrpc/server.go
@@ -39,7 +39,7 @@
 	busyConns atomic.Int64 // number of connections with open requests
 
 	mu           sync.Mutex
-	conns        map[*conn]struct{} // open connections, except those that were evicted
+	conns        map[*conn]struct{} // open connections, except those that were evicted or whose clients have gone
 	shuttingDown bool
 }
 
@@ -52,12 +52,8 @@
 	s.mu.Unlock()
 	var group errgroup.Group
 	for {
-		for !s.mayAccept() {
-			select {
-			case <-ctx.Done():
-				return errors.Join(ctx.Err(), group.Wait())
-			case <-time.After(limits.Duration(s.Limits.AcceptRetryInterval)):
-			}
+		if err := s.awaitCapacity(ctx); err != nil {
+			return errors.Join(err, group.Wait())
 		}
 		peer, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -76,6 +72,21 @@
 	}
 }
 
+// awaitCapacity waits until one more connection may be accepted or ctx is done.
+func (s *Server) awaitCapacity(ctx context.Context) error {
+	for waited := false; !s.mayAccept(); waited = true {
+		if !waited {
+			s.Log.Warn().Int("limit", s.Limits.MaxClientConns).Int64("busy", s.busyConns.Load()).Msg("no connection accepted")
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(limits.Duration(s.Limits.AcceptRetryInterval)):
+		}
+	}
+	return nil
+}
+
 // BeginShutdown rejects all further requests. Each connection is closed once its open requests have been answered; until then
 // its client can still cancel them.
 func (s *Server) BeginShutdown() {
--- a/internal/frontend/msgpackrpc/writer.go
+++ b/internal/frontend/msgpackrpc/writer.go
@@ -15,7 +15,7 @@
 	pending    bool // it counts as a pending response in the in-flight table
 }
 
-// respond passes a request's response to the writer.
+// respond passes a request's response to the writer. c.mu must be held.
 func (c *conn) respond(f frame) {
 	select {
 	case c.responses <- f:
@@ -34,19 +34,19 @@
 	}
 }
 
-// writeLoop writes frames until c.responses is closed or a write fails. After a failed write it calls cancel, which ends the
+// writeLoop writes frames until responses is closed or a write fails. After a failed write it calls cancel, which ends the
 // reader. Responses that are queued when the reader sends a reply are written before that reply.
-func (c *conn) writeLoop(cancel func()) (err error) {
+func (c *conn) writeLoop(responses <-chan frame, cancel func()) (err error) {
 	for err == nil {
 		select {
-		case f, more := <-c.responses:
+		case f, more := <-responses:
 			if !more {
 				return nil
 			}
 			err = c.write(f)
 		case reply := <-c.replies:
-			for n := len(c.responses); n > 0 && err == nil; n-- {
-				err = c.write(<-c.responses)
+			for n := len(responses); n > 0 && err == nil; n-- {
+				err = c.write(<-responses)
 			}
 			if err == nil {
 				err = c.write(reply)
@@ -54,7 +54,7 @@
 		}
 	}
 	cancel()
-	for f := range c.responses {
+	for f := range responses {
 		f.rows.Free()
 	}
 	return err
