A job that is taken out of the settings keeps its latest due time

Cause: the first request of the new generation makes Machine.configure delete all that is known of an unlisted job. For controllers of the earlier generation it then is a job without history: they count its due times from their own start, and the claim of an old due time is accepted.

Change: an unlisted job keeps its latest due time and its open runs (ScheduledJob.Listing), so the check that refuses an old due time holds whoever claims it. A job that is listed again counts its due times from its owner's start, as a new one does, so nothing is made up for. Both marks are optional fields, written only when set: the golden files of earlier builds hold to the byte; the lease response with every field set has a golden file of its own now, and the earlier one is read and written back unchanged.

--- a/internal/fleet/consensus/encoding.go
+++ b/internal/fleet/consensus/encoding.go
@@ -132,7 +132,7 @@
 		machine.Shards[record.Task] = record.Shards
 	}
 	for _, record := range r.ScheduledJobs {
-		machine.ScheduledJobs[record.Name] = &state.ScheduledJob{LastDue: record.LastDue, Runs: record.Runs}
+		machine.ScheduledJobs[record.Name] = &record.ScheduledJob
 	}
 	for _, override := range r.Overrides {
 		machine.Overrides[state.OverrideKey(override.Kind, override.Target)] = override
--- a/internal/fleet/consensus/golden_test.go
+++ b/internal/fleet/consensus/golden_test.go
@@ -39,17 +39,20 @@
 
 // A snapshot with every field set is encoded and decoded as by earlier builds.
 func TestGoldenSnapshot(t *testing.T) {
-	want := goldenState()
-	data, err := encode(want)
-	if err != nil {
-		t.Fatal(err)
-	}
-	got := state.New()
-	if err := decode(testutil.CheckGolden(t, "Snapshot", data), got); err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("state decoded from the golden file (-want +got):\n%s", diff)
+	withRemovedJob := goldenState()
+	withRemovedJob.ScheduledJobs["nightly"].Listing = state.ListingRemoved
+	for name, want := range map[string]*state.Machine{"Snapshot": goldenState(), "SnapshotRemovedJob": withRemovedJob} {
+		data, err := encode(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := state.New()
+		if err := decode(testutil.CheckGolden(t, name, data), got); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s decoded from the golden file (-want +got):\n%s", name, diff)
+		}
 	}
 }
 
--- a/internal/fleet/consensus/messages.go
+++ b/internal/fleet/consensus/messages.go
@@ -85,6 +85,7 @@
 	Name     string      `msgpack:"Name"`
 	LastDue  int64       `msgpack:"Last"` // latest due time, in Unix seconds, that was claimed or skipped
 	OpenRuns []state.Run `msgpack:"Open"`
+	Restored bool        `msgpack:"Restored,omitempty"` // configured again after it was removed, and not claimed since
 }
 
 // PublishedList is a published list, sent to controllers that have an earlier version or none.
--- a/internal/fleet/consensus/work.go
+++ b/internal/fleet/consensus/work.go
@@ -154,7 +154,7 @@
 			continue
 		}
 		stored := c.machine.ScheduledJobs[name]
-		job := ScheduledJob{Name: name, LastDue: stored.LastDue}
+		job := ScheduledJob{Name: name, LastDue: stored.LastDue, Restored: stored.Listing == state.ListingRestored}
 		for _, run := range stored.Runs {
 			if !run.State.Finished() {
 				job.OpenRuns = append(job.OpenRuns, run)
--- a/internal/fleet/golden_test.go
+++ b/internal/fleet/golden_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -45,7 +46,7 @@
 	}{
 		{"greeting", frameHello, new(hello)},
 		{"asking", frameLeaseRequest, new(consensus.LeaseRequest)},
-		{"answering", frameLeaseResponse, new(consensus.LeaseResponse)},
+		{"answering-restored", frameLeaseResponse, new(consensus.LeaseResponse)},
 		{"viewed", frameStatus, new(Status)},
 		{"acting", frameProposal, new(consensus.Proposal)},
 		{"acted", frameProposalResult, new(consensus.ProposalResult)},
@@ -70,6 +71,29 @@
 	}
 }
 
+// A lease response of builds without ScheduledJob.Restored, with every field set that they had, is read, and a response in which
+// that field is not set is written as they wrote it.
+func TestGoldenFrameWithoutRestored(t *testing.T) {
+	golden, err := os.ReadFile("testdata/frames/answering.golden")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kind, body, err := readFrame(bytes.NewReader(golden))
+	if err != nil || kind != frameLeaseResponse {
+		t.Fatalf("got kind %d and error %v, want kind %d", kind, err, frameLeaseResponse)
+	}
+	var response consensus.LeaseResponse
+	if err := decodeMessage(body, &response); err != nil {
+		t.Fatal(err)
+	}
+	for _, job := range response.ScheduledJobs {
+		if job.Name == "" || job.LastDue == 0 || len(job.OpenRuns) != 2 || job.Restored {
+			t.Errorf("got job %+v", job)
+		}
+	}
+	testutil.CheckGolden(t, "frames/answering", encodeFrame(t, kind, encodeMessage(&response)))
+}
+
 // newOfSameType returns a pointer to a zero value of the type that message points to.
 func newOfSameType(message any) any {
 	switch message.(type) {
--- a/internal/fleet/state/doc.go
+++ b/internal/fleet/state/doc.go
@@ -15,7 +15,7 @@
 //   - L5: fencing tokens only increase, across the whole state.
 //   - L6: a shard is assigned only while it has no owner.
 //   - L7: a run of a non-idempotent job is sent under at most one fencing token, unless an operator or its sender has
-//     reported that nothing ran.
+//     reported that nothing ran. A job's latest due time never decreases, and outlasts the removal of the job from the settings.
 //   - L8: a command with a fencing token that is not its shard's current one has no effect, except for a report of the
 //     outcome of a run that was sent.
 package state
--- a/internal/fleet/state/invariants.go
+++ b/internal/fleet/state/invariants.go
@@ -91,5 +91,10 @@
 			return fmt.Sprintf("L7: %q went from due time %d to %d", name, old.LastDue, job.LastDue)
 		}
 	}
+	for name := range previous.ScheduledJobs {
+		if m.ScheduledJobs[name] == nil && len(previous.ScheduledJobs) <= retainedRemovedJobs {
+			return fmt.Sprintf("L7: the latest due time of %q was dropped", name)
+		}
+	}
 	return ""
 }
--- a/internal/fleet/state/machine.go
+++ b/internal/fleet/state/machine.go
@@ -114,7 +114,7 @@
 		clone.Shards[task] = slices.Clone(shards)
 	}
 	for name, job := range m.ScheduledJobs {
-		clone.ScheduledJobs[name] = &ScheduledJob{LastDue: job.LastDue, Runs: slices.Clone(job.Runs)}
+		clone.ScheduledJobs[name] = &ScheduledJob{LastDue: job.LastDue, Runs: slices.Clone(job.Runs), Listing: job.Listing}
 	}
 	return clone
 }
--- a/internal/fleet/state/machine_test.go
+++ b/internal/fleet/state/machine_test.go
@@ -167,3 +167,74 @@
 		}
 	})
 }
+
+// The histories of removed jobs are bounded: those with the earliest due times are dropped first.
+func TestRemovedJobsAreBounded(t *testing.T) {
+	machine := New()
+	for i := range retainedRemovedJobs + 2 {
+		machine.ScheduledJobs[fmt.Sprint(i)] = &ScheduledJob{LastDue: int64(i)}
+	}
+	machine.ScheduledJobs["0"].Runs = []Run{{State: RunUncertain}} // stays until an operator resolves it
+	if err := machine.Apply(Configure{Generation: 1}.Command()); err != nil {
+		t.Fatal(err)
+	}
+	for name, kept := range map[string]bool{"0": true, "1": false, "2": true} {
+		if got := machine.ScheduledJobs[name] != nil; got != kept {
+			t.Errorf("job %s: got kept %v, want %v", name, got, kept)
+		}
+	}
+}
+
+// Guards against a second run of what a job did before a rolling change of the settings took it out, by a controller that still
+// has the earlier settings. The latest due time
+// outlasts the removal and the job's return.
+func TestRemovedJobKeepsItsLastDueTime(t *testing.T) {
+	machine, owner := New(), ControllerID{"a", 1}
+	apply := func(c Command) error {
+		previous := machine.Clone()
+		err := machine.Apply(c)
+		if violation := machine.CheckInvariants(previous); violation != "" {
+			t.Error(violation)
+		}
+		return err
+	}
+	must := func(c Command) {
+		t.Helper()
+		if err := apply(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	configure := func(generation uint64, jobs ...string) {
+		t.Helper()
+		must(Configure{Generation: generation, Tasks: []Task{{"jobs", 1}}, ScheduledJobs: jobs}.Command())
+	}
+	run := func(op Op, job string, due int64) Command {
+		return Command{Op: op, Controller: owner, Task: "jobs", Subject: job, Time: due, Number: machine.Shards["jobs"][0].Fence, NonIdempotent: true, State: RunDone}
+	}
+	runOnce := func(due int64) {
+		t.Helper()
+		for _, op := range []Op{OpClaimRun, OpStartRun, OpFinishRun} {
+			must(run(op, "nightly", due))
+		}
+	}
+	expectRefused := func(due int64) {
+		t.Helper()
+		for _, op := range []Op{OpClaimRun, OpSkipRun} {
+			if err := apply(run(op, "nightly", due)); !errors.Is(err, ErrInvalid) {
+				t.Errorf("op %d for due time %d: got error %v, want %v", op, due, err, ErrInvalid)
+			}
+		}
+	}
+	configure(1, "nightly", "hourly")
+	must(Join{Controller: owner, MaxControllers: 1}.Command())
+	must(AssignShard{Owner: owner, Task: "jobs"}.Command())
+	runOnce(100)
+	configure(2, "hourly")
+	expectRefused(100)
+	runOnce(120) // by a controller with the earlier settings, before it is restarted
+	configure(3, "hourly")
+	expectRefused(120)
+	configure(4, "hourly", "nightly")
+	expectRefused(120)
+	runOnce(140)
+}
--- a/internal/fleet/state/quantities.go
+++ b/internal/fleet/state/quantities.go
@@ -26,7 +26,7 @@
 }
 
 // Configure replaces the quantities, tasks and scheduled jobs by those of a later generation. A scheduled job that is not
-// listed is dropped if it has no open run.
+// listed keeps its open runs and its latest due time.
 type Configure struct {
 	Generation    uint64
 	Quantities    []Quantity
@@ -60,7 +60,7 @@
 		}
 	}
 	m.Generation, m.Quantities = c.Generation, next
-	m.dropUnconfiguredJobs(c.ScheduledJobs)
+	m.listJobs(c.ScheduledJobs)
 	return nil
 }
 
--- a/internal/fleet/state/runs.go
+++ b/internal/fleet/state/runs.go
@@ -1,6 +1,9 @@
 package state
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // RunState is the state of a run of a scheduled job.
 type RunState int
@@ -38,10 +41,21 @@
 
 // ScheduledJob holds the runs of one scheduled job.
 type ScheduledJob struct {
-	LastDue int64 `msgpack:"Last"` // latest due time, in Unix seconds, that was claimed or skipped
-	Runs    []Run `msgpack:"Runs"` // the open runs and the latest finished ones, oldest first
+	LastDue int64   `msgpack:"Last"`              // latest due time, in Unix seconds, that was claimed or skipped
+	Runs    []Run   `msgpack:"Runs"`              // the open runs and the latest finished ones, oldest first
+	Listing Listing `msgpack:"Listing,omitempty"` // whether the job is configured
 }
 
+// Listing says whether the fleet's current configuration lists a scheduled job.
+type Listing int
+
+// The listings of a job.
+const (
+	ListingCurrent  Listing = iota // configured
+	ListingRemoved                 // no longer configured; controllers with earlier settings may still run it
+	ListingRestored                // configured again after it was removed, and not claimed since
+)
+
 // run returns the run for a due time, nil if there is none.
 func (j *ScheduledJob) run(due int64) *Run {
 	if j == nil {
@@ -66,10 +80,13 @@
 }
 
 // dropOldRuns drops the oldest finished runs, so that at most retainedRuns remain.
-func (j *ScheduledJob) dropOldRuns() {
+func (j *ScheduledJob) dropOldRuns() { j.dropFinishedRuns(retainedRuns) }
+
+// dropFinishedRuns drops the oldest finished runs, so that at most the given number remain.
+func (j *ScheduledJob) dropFinishedRuns(retained int) {
 	finished := len(j.Runs) - j.OpenRuns()
 	j.Runs = slices.DeleteFunc(j.Runs, func(run Run) bool {
-		if finished <= retainedRuns || !run.State.Finished() {
+		if finished <= retained || !run.State.Finished() {
 			return false
 		}
 		finished--
@@ -77,23 +94,62 @@
 	})
 }
 
-// dropUnconfiguredJobs drops the jobs that are no longer configured and have no open run.
-func (m *Machine) dropUnconfiguredJobs(names []string) {
+// listJobs records which jobs are configured from now on. A job that no longer is keeps its latest due time: controllers that
+// still have earlier settings must not run again what has run.
+func (m *Machine) listJobs(names []string) {
 	for name, job := range m.ScheduledJobs {
-		if !slices.Contains(names, name) && job.OpenRuns() == 0 {
-			delete(m.ScheduledJobs, name)
+		switch listed := slices.Contains(names, name); {
+		case !listed:
+			job.Listing = ListingRemoved
+			job.dropFinishedRuns(0)
+		case job.Listing == ListingRemoved:
+			job.Listing = ListingRestored
 		}
 	}
+	m.dropRemovedJobs()
 }
 
-// ensureJob returns the job with a name, creating it if necessary.
-func (m *Machine) ensureJob(name string) *ScheduledJob {
+// dropRemovedJobs drops removed jobs without an open run, those with the earliest due times first, so that at most
+// retainedRemovedJobs remain.
+func (m *Machine) dropRemovedJobs() {
+	var removed []string
+	for name, job := range m.ScheduledJobs {
+		if job.Listing == ListingRemoved && job.OpenRuns() == 0 {
+			removed = append(removed, name)
+		}
+	}
+	slices.SortFunc(removed, func(x, y string) int {
+		return cmp.Or(cmp.Compare(m.ScheduledJobs[x].LastDue, m.ScheduledJobs[y].LastDue), cmp.Compare(x, y))
+	})
+	for _, name := range removed[:max(len(removed)-retainedRemovedJobs, 0)] {
+		delete(m.ScheduledJobs, name)
+	}
+}
+
+// atJobLimit reports whether no further job may be added.
+func (m *Machine) atJobLimit() bool {
+	count := 0
+	for _, job := range m.ScheduledJobs {
+		if job.Listing != ListingRemoved {
+			count++
+		}
+	}
+	return count >= maxScheduledJobs
+}
+
+// appendRun adds a run that is later than all earlier ones of a job, which is created if necessary.
+func (m *Machine) appendRun(name string, run Run) {
 	job := m.ScheduledJobs[name]
 	if job == nil {
 		job = &ScheduledJob{}
 		m.ScheduledJobs[name] = job
 	}
-	return job
+	if job.Listing == ListingRestored {
+		job.Listing = ListingCurrent
+	}
+	job.LastDue = run.Due
+	job.Runs = append(job.Runs, run)
+	job.dropOldRuns()
 }
 
 // runClaim is what the owner of a job's shard presents with a command on one of its runs.
@@ -139,16 +195,14 @@
 func (m *Machine) addRun(c claimRun) error {
 	job, exists := m.ScheduledJobs[c.job]
 	switch {
-	case !exists && len(m.ScheduledJobs) >= maxScheduledJobs:
+	case !exists && m.atJobLimit():
 		return reject(ErrLimit, "there are already %d scheduled jobs, the limit", maxScheduledJobs)
 	case exists && c.due <= job.LastDue:
 		return reject(ErrInvalid, "job %q: the run due at %d is finished or was missed, the latest is due at %d", c.job, c.due, job.LastDue)
 	case exists && job.OpenRuns() >= maxOpenRuns:
 		return reject(ErrLimit, "job %q already has %d open runs, the limit", c.job, maxOpenRuns)
 	}
-	job = m.ensureJob(c.job)
-	job.LastDue = c.due
-	job.Runs = append(job.Runs, Run{Due: c.due, NonIdempotent: c.nonIdempotent, Owner: c.owner, Fence: c.fence})
+	m.appendRun(c.job, Run{Due: c.due, NonIdempotent: c.nonIdempotent, Owner: c.owner, Fence: c.fence})
 	return nil
 }
 
@@ -225,13 +279,10 @@
 	switch {
 	case exists && s.due <= job.LastDue:
 		return reject(ErrInvalid, "job %q: the run due at %d is not later than the latest", s.job, s.due)
-	case !exists && len(m.ScheduledJobs) >= maxScheduledJobs:
+	case !exists && m.atJobLimit():
 		return reject(ErrLimit, "there are already %d scheduled jobs, the limit", maxScheduledJobs)
 	}
-	job = m.ensureJob(s.job)
-	job.LastDue = s.due
-	job.Runs = append(job.Runs, Run{Due: s.due, State: RunMissed, Owner: s.owner, Fence: s.fence, Outcome: truncate(s.reason)})
-	job.dropOldRuns()
+	m.appendRun(s.job, Run{Due: s.due, State: RunMissed, Owner: s.owner, Fence: s.fence, Outcome: truncate(s.reason)})
 	return nil
 }
 
--- a/internal/sharedwork/scheduler.go
+++ b/internal/sharedwork/scheduler.go
@@ -27,7 +27,7 @@
 	fleet     Fleet
 	gateway   Gateway
 	log       zerolog.Logger
-	startedAt time.Time // a job that is new to the fleet has no occurrences before this time
+	startedAt time.Time // a job that is new to the fleet, or has been put back, has no occurrences before this time
 
 	shutdown chan struct{} // closed when no more occurrences are to be started
 	drained  chan struct{} // closed after shutdown, once all occurrences have ended and been reported
@@ -35,6 +35,7 @@
 	mu           sync.Mutex
 	synced       bool                             // whether the fleet's state has been received
 	histories    map[string]assignment.JobHistory // latest known state of the jobs in own shards, by name
+	restored     map[string]bool                  // names of the jobs among them that were put back into the settings
 	running      map[occurrence]bool              // occurrences that this process works on
 	lastAttempts map[occurrence]int64             // time of the latest attempt in this process, in Unix seconds
 	goroutines   sync.WaitGroup                   // goroutines of the running occurrences
@@ -56,6 +57,7 @@
 		shutdown:     make(chan struct{}),
 		drained:      make(chan struct{}),
 		histories:    map[string]assignment.JobHistory{},
+		restored:     map[string]bool{},
 		running:      map[occurrence]bool{},
 		lastAttempts: map[occurrence]int64{},
 	}
@@ -68,8 +70,10 @@
 	defer s.mu.Unlock()
 	s.synced = true
 	clear(s.histories)
+	clear(s.restored)
 	for _, j := range jobs {
 		s.histories[j.Name] = historyOf(j)
+		s.restored[j.Name] = j.Restored
 	}
 	for o := range s.lastAttempts {
 		history, known := s.histories[o.job]
@@ -142,10 +146,7 @@
 	if !s.synced {
 		return
 	}
-	history, known := s.histories[j.Name]
-	if !known {
-		history.LastDue = s.startedAt.Unix()
-	}
+	history := s.history(j)
 	local := assignment.LocalRuns{
 		IsRunning:   func(dueAt int64) bool { return s.running[occurrence{j.Name, dueAt}] },
 		LastAttempt: func(dueAt int64) int64 { return s.lastAttempts[occurrence{j.Name, dueAt}] },
@@ -160,6 +161,16 @@
 	}
 }
 
+// history returns the state of a job. A job that is new to the fleet, or that was put back into the settings, is due only
+// after the start of this process: what it missed meanwhile is not made up for. The caller holds mu.
+func (s *scheduler) history(j *Job) assignment.JobHistory {
+	history, known := s.histories[j.Name]
+	if !known || s.restored[j.Name] {
+		history.LastDue = max(history.LastDue, s.startedAt.Unix())
+	}
+	return history
+}
+
 // start carries out a step for an occurrence in a new goroutine. The caller holds mu.
 func (s *scheduler) start(ctx context.Context, o occurrence, next *step) {
 	s.goroutines.Go(func() {
--- a/internal/sharedwork/worker_test.go
+++ b/internal/sharedwork/worker_test.go
@@ -15,6 +15,7 @@
 	"copperrock.example/copperrock/internal/discovery"
 	"copperrock.example/copperrock/internal/fleet"
 	"copperrock.example/copperrock/internal/fleet/assignment"
+	"copperrock.example/copperrock/internal/fleet/consensus"
 	"copperrock.example/copperrock/internal/fleet/state"
 	"copperrock.example/copperrock/internal/gateway"
 	"copperrock.example/copperrock/internal/harness/testutil"
@@ -177,6 +178,24 @@
 	testutil.CheckTrace(t, lines)
 }
 
+// Guards against making up for the time in which a job was not in the settings, once it is put back.
+func TestRestoredJobBeginsAnew(t *testing.T) {
+	fake := &fakeFleet{fence: 7, owned: true}
+	job := Job{Name: "a", JobSpec: assignment.JobSpec{CatchUp: assignment.CatchUpAll}}
+	var err error
+	if job.Schedule, err = parseSchedule("@every 1s", "UTC"); err != nil {
+		t.Fatal(err)
+	}
+	for _, restored := range []bool{false, true} {
+		s := New(&Options{Jobs: []Job{job}}, fake, fake, nil, zerolog.Nop()).scheduler
+		now := time.Now()
+		s.update([]consensus.ScheduledJob{{Name: "a", LastDue: now.Unix() - 5, Restored: restored}})
+		if missed := len(dueTimes(&job, s.history(&job).LastDue, now)); (missed == 0) != restored {
+			t.Errorf("restored %v: %d missed occurrences are due", restored, missed)
+		}
+	}
+}
+
 // Load reports under a lower fencing token than an earlier one of the same shard are ignored, as are those that are too old or
 // name a shard that doesn't exist.
 func TestLoadReports(t *testing.T) {
