Bound the number of values in a client's message

What callers saw: beside 300 connections that send whole requests of 80,000 fields of three bytes, 64 well-behaved ones with 300 lookups a second got 399 of 1,212 answers (792 rejected, 21 failed), p50 4.2 s in place of 6 ms. Heads that announce more fields than come: 507 of 1,211, p50 2.5 s.

Cause: a message was bounded in bytes and nesting, not in the number of its values, and each value costs processor time.

Evidence: 'make measure-hostile SHAPES="a: heads"' (new), 4 s, arm64, 192 MB: one processor busy all the time, peak memory 87 to 90 MB, so it is not memory. TestValuesOfAMessageAreLimited fails with the bound switched off.

Change: decoder.head, through which all values are read, counts them and ends the message after Limits.MaxValues (2,048). Tests that make a decoder by hand give it the number of its bytes, so they read what they read before.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Builds, tests, lints and runs copperrock. The bench is not needed.
 
-.PHONY: all build test race lint fuzz traces run demo soak-file measure-file measure-platform upgrade bench-teams standing spread fleet-sim fleet fleet-model fleet-plots crash measure-store measure-fleet measure-flood duties
+.PHONY: all build test race lint fuzz traces run demo soak-file measure-file measure-platform upgrade bench-teams standing spread fleet-sim fleet fleet-model fleet-plots crash measure-store measure-fleet measure-flood measure-hostile duties
 
 all: lint build test
 
@@ -119,3 +119,10 @@
 measure-store:
 	MEASURE=1 go test -count=1 -timeout 20m -v -run Measure ./internal/storage/requestlog
 	MEASURE=1 go test -count=1 -timeout 20m -v -run 'MeasureWarm' ./cmd/copperrock
+
+# Measures well-behaved clients beside hostile ones: slow and broken-off requests, very many fields, floods of small messages, clients
+# that send much and leave. SHAPES selects shapes whose names contain it, MEMORY is the controller's memory limit in MB.
+SHAPES ?=
+MEMORY ?= 192
+measure-hostile:
+	MEASURE=1 SHAPES="$(SHAPES)" MEMORY=$(MEMORY) LENGTH=$(LENGTH) go test -count=1 -timeout 30m -v -run MeasureHostileClients ./cmd/copperrock
--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -190,7 +190,7 @@
 		if !c.beginRead(lim.ClientReadTimeout, true) {
 			return errConnClosing
 		}
-		if err := c.handleMessage(ctx, &decoder{in: in, remaining: lim.MaxMessage, depth: lim.MaxDepth}, requests); err != nil {
+		if err := c.handleMessage(ctx, &decoder{in: in, remaining: lim.MaxMessage, values: lim.MaxValues, depth: lim.MaxDepth}, requests); err != nil {
 			return err
 		}
 		c.pace(ctx, in.Buffered() > 0)
--- a/internal/frontend/msgpackrpc/decoder.go
+++ b/internal/frontend/msgpackrpc/decoder.go
@@ -14,6 +14,7 @@
 	errUnexpectedType = errors.New("unexpected type of value")
 	errTooLong        = errors.New("message too long")
 	errTooDeep        = errors.New("message nested too deeply")
+	errTooManyValues  = errors.New("too many values in a message")
 )
 
 // decoder reads the MessagePack values of one message from a stream. It does not allocate memory for an announced length
@@ -21,6 +22,7 @@
 type decoder struct {
 	in        *bufio.Reader
 	remaining int // maximum number of further bytes in the message
+	values    int // maximum number of further values in the message
 	depth     int // maximum number of further levels of nesting
 }
 
@@ -55,8 +57,12 @@
 	kindOther // extensions
 )
 
-// head reads the head of a value: its kind and, depending on the kind, its number, length in bytes or number of elements.
+// head reads the head of a value: its kind and, depending on the kind, its number, length in bytes or number of elements. All
+// values of a message are read through it, so the time that a message takes is bounded by their number.
 func (d *decoder) head() (kind valueKind, n int64, err error) {
+	if d.values--; d.values < 0 {
+		return 0, 0, errTooManyValues
+	}
 	lead, err := d.uint(1)
 	if err != nil {
 		return 0, 0, err
--- a/internal/frontend/msgpackrpc/races_test.go
+++ b/internal/frontend/msgpackrpc/races_test.go
@@ -102,7 +102,7 @@
 		c.aborted = ctx.Done()
 		var requests errgroup.Group
 		handle := func() error {
-			return c.handleMessage(ctx, &decoder{in: bufio.NewReader(bytes.NewReader(message)), remaining: 1 << 12, depth: 8}, &requests)
+			return c.handleMessage(ctx, &decoder{in: bufio.NewReader(bytes.NewReader(message)), remaining: 1 << 12, values: 1 << 12, depth: 8}, &requests)
 		}
 		x.Recordf("%s first", first)
 		later := time.Now().Add(time.Hour)
--- a/internal/frontend/msgpackrpc/server_test.go
+++ b/internal/frontend/msgpackrpc/server_test.go
@@ -219,6 +219,28 @@
 	x.Check()
 }
 
+// Guards against messages of very many short values, which take the processor from other clients: the connection ends after the
+// allowed number of values. A message with exactly that number is handled.
+func TestValuesOfAMessageAreLimited(t *testing.T) {
+	const headValues, maxValues = 5, 100 // values of a request beside its fields; with the last, the statement
+	x, _, s, address := startServer(t, func(l *limits.Limits) { l.MaxValues = maxValues })
+	request := func(fields int) []byte {
+		b := testutil.DecodeHex("94 00 07 a172 92 de")
+		b = append(b, byte(fields>>8), byte(fields))
+		b = append(b, bytes.Repeat(testutil.DecodeHex("a178 a0"), fields)...)
+		return append(b, testutil.DecodeHex("a0")...)
+	}
+	for _, fields := range []int{(maxValues - headValues - 2) / 2, (maxValues-headValues-2)/2 + 1, 1 << 15} {
+		c := x.Dial(address)
+		x.Recordf("%d fields", fields)
+		write(t, c, request(fields))
+		c.ReadAnswer()
+		c.Close()
+	}
+	waitFor(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.conns) == 0 })
+	x.Check()
+}
+
 // At the connection limit an idle connection is evicted for a new one. While all connections are in use, the server accepts
 // none.
 func TestAcceptAtConnectionLimit(t *testing.T) {
@@ -334,7 +356,7 @@
 		c.aborted = ctx.Done()
 		var requests errgroup.Group
 		_ = c.handleMessage(ctx, &decoder{in: bufio.NewReader(iotest.OneByteReader(bytes.NewReader(text))), remaining: 1 << 12,
-			depth: 8}, &requests)
+			values: 1 << 12, depth: 8}, &requests)
 		wait(&requests)
 		if n := c.server.Pool.InUse(); n != 0 {
 			t.Errorf("got %d buffers in use, want 0", n)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,6 +32,7 @@
 	BufferSize int   // one buffer
 	MaxBuffers int64 // number of buffers in use at once
 	MaxMessage int   // one message of a client
+	MaxValues  int   // values in one message of a client, nested ones included
 	MaxDepth   int   // levels of nesting in one message
 	MaxName    int   // an ID, a method or a field name
 	MaxFields  int   // the fields of an engine's answer
@@ -105,6 +106,7 @@
 		BufferSize: 8 << 10, // one page with room to spare
 		MaxBuffers: max(memory/4/(8<<10), 16),
 		MaxMessage: 256 << 10,
+		MaxValues:  2 << 10, // a request has some 20; an abort may name hundreds of requests
 		MaxDepth:   8,
 		MaxName:    128,
 		MaxFields:  1 << 10,
