Large requests that arrive slowly leave buffers for small ones

Cause: a statement takes buffers of a pool with a limit as its bytes arrive, and holds them until the rest has come; some 190 large ones hold the whole pool. One that found no further buffer kept what it had until its last byte.

Evidence: TestHalfSentRequestsLeaveBuffers on the code before: small requests rejected.

Change: Pool.get, through which all buffers are taken, gives a text its first buffer only while half of the pool is in use, and a request without a further buffer frees what it has at once.

--- a/internal/bufferpool/buffer.go
+++ b/internal/bufferpool/buffer.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 )
 
-// ErrExhausted means that the pool's limit is reached.
+// ErrExhausted means that the pool's limit is reached, or the lower limit for all but the first buffer of a text.
 var ErrExhausted = errors.New("all buffers are in use")
 
 // Pool is a pool of buffers of one size. It is safe for concurrent use.
@@ -21,14 +21,20 @@
 	free  sync.Pool
 }
 
-// NewPool returns a pool of up to limit buffers of size bytes each. Buffers are allocated when first needed.
+// NewPool returns a pool of up to limit buffers of size bytes each. Buffers are allocated when first needed. While half of them
+// are in use, a text gets one buffer only, so that large texts, which may arrive slowly, leave buffers for small ones.
 func NewPool(size int, limit int64) *Pool { return &Pool{size: size, limit: limit} }
 
 // InUse returns the number of buffers in use.
 func (p *Pool) InUse() int64 { return p.inUse.Load() }
 
-func (p *Pool) get() ([]byte, error) {
-	if p.inUse.Add(1) > p.limit {
+// get returns an empty buffer. first is whether it is the first one of a text.
+func (p *Pool) get(first bool) ([]byte, error) {
+	limit := p.limit
+	if !first {
+		limit = p.limit / 2
+	}
+	if p.inUse.Add(1) > limit {
 		p.inUse.Add(-1)
 		return nil, ErrExhausted
 	}
@@ -73,7 +79,7 @@
 	for n > 0 {
 		last := len(c.parts) - 1
 		if last < 0 || len(c.parts[last]) == c.pool.size {
-			b, err := c.pool.get()
+			b, err := c.pool.get(last < 0)
 			if err != nil {
 				return err
 			}
--- a/internal/frontend/msgpackrpc/params.go
+++ b/internal/frontend/msgpackrpc/params.go
@@ -192,8 +192,10 @@
 	p.request.Statement = statement
 	err = statement.Fill(d, int(size))
 	if errors.Is(err, bufferpool.ErrExhausted) {
-		p.outOfBuffers = true
-		return d.skipBody(kindText, size-int64(statement.Size()))
+		rest := size - int64(statement.Size())
+		p.outOfBuffers, p.request.Statement = true, nil
+		statement.Free() // the rest may take long to arrive
+		return d.skipBody(kindText, rest)
 	}
 	return err
 }
--- a/internal/frontend/msgpackrpc/server_test.go
+++ b/internal/frontend/msgpackrpc/server_test.go
@@ -219,6 +219,42 @@
 	x.Check()
 }
 
+// Guards against large requests that stop half way, or arrive slowly, taking the buffers that small requests need.
+func TestHalfSentRequestsLeaveBuffers(t *testing.T) {
+	const buffers, clients, sent, announced = 32, 20, 40 << 10, 200 << 10
+	x, _, s, address := startServer(t, func(l *limits.Limits) { l.MaxBuffers, l.ClientReadTimeout = buffers, 3600 })
+	head := testutil.DecodeHex("94 00 07 a172 92 80 c6")
+	head = append(head, 0, announced>>16, announced>>8&0xff, announced&0xff)
+	var unfinished []*testutil.Client
+	for range clients {
+		c := x.Dial(address)
+		write(t, c, append(head, make([]byte, sent)...))
+		unfinished = append(unfinished, c)
+	}
+	waitFor(t, func() bool { // all have begun
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		begun := 0
+		for c := range s.conns {
+			c.mu.Lock()
+			if c.midMessage {
+				begun++
+			}
+			c.mu.Unlock()
+		}
+		return begun == clients
+	})
+	normal := x.Dial(address)
+	for id := range 20 {
+		normal.SendRequest(id, "report", 1500, "small")
+		normal.ReadAnswer()
+	}
+	for _, c := range unfinished {
+		c.Close()
+	}
+	x.Check()
+}
+
 // Guards against messages of very many short values, which take the processor from other clients: the connection ends after the
 // allowed number of values. A message with exactly that number is handled.
 func TestValuesOfAMessageAreLimited(t *testing.T) {
