Pace messages that open no request, such as pings, aborts and unsound requests

What callers saw: beside one connection that pings at full speed, 64 well-behaved ones with 300 lookups a second had p50 45 ms, p99 82 ms in place of 6 and 11; aborts of unknown requests 52 and 82, unknown notifications 9 and 47, requests with missing fields 47 and 103 ms. The controller used 3.5 to 3.8 s of CPU in 4 s (0.35 s alone).

Cause: only requests over a connection's limit and cancelled ones counted as excess. What opens no request was read and answered at full speed.

TestMessagesOfNoUseArePaced: on the code before 1,200 such messages are read in 5 to 71 ms, of each of seven kinds, where at least 1.38 s are wanted.

Change: handleMessage tells whether a message was excess and the reader's loop counts it, one place for all; requests of an unknown class or under an ID in use, which are answered at once, count too. A paced reader's pause, which only grew, halves again while the pacer has capacity, so that a single connection gets the paced rate. TestPipelinedPings is about the answer to each ping, so it sets the paced rate out of the way; all its checks are as before.

--- a/internal/frontend/msgpackrpc/conn.go
+++ b/internal/frontend/msgpackrpc/conn.go
@@ -205,9 +205,13 @@
 		if !c.beginRead(lim.ClientReadTimeout, true) {
 			return errConnClosing
 		}
-		if err := c.handleMessage(ctx, &decoder{in: in, remaining: lim.MaxMessage, values: lim.MaxValues, depth: lim.MaxDepth}, requests); err != nil {
+		excess, err := c.handleMessage(ctx, &decoder{in: in, remaining: lim.MaxMessage, values: lim.MaxValues, depth: lim.MaxDepth}, requests)
+		if err != nil {
 			return err
 		}
+		if excess {
+			c.countExcess()
+		}
 		c.pace(ctx, in.Buffered() > 0)
 	}
 }
--- a/internal/frontend/msgpackrpc/message.go
+++ b/internal/frontend/msgpackrpc/message.go
@@ -42,56 +42,57 @@
 // noMessageID replaces the message ID in the response to a message that cannot be parsed.
 const noMessageID = 0
 
-// handleMessage reads and handles one message. After an error no further message is read from the connection.
-func (c *conn) handleMessage(ctx context.Context, d *decoder, requests *errgroup.Group) error {
+// handleMessage reads and handles one message. After an error no further message is read from the connection. excess reports
+// that the message is no request that was accepted: a client that sends many such messages overloads the server.
+func (c *conn) handleMessage(ctx context.Context, d *decoder, requests *errgroup.Group) (excess bool, err error) {
 	length, err := d.require(kindArray)
 	if err != nil {
-		return fmt.Errorf("invalid message: %w", err)
+		return false, fmt.Errorf("invalid message: %w", err)
 	}
 	messageType, err := d.require(kindInt)
 	switch {
 	case err != nil:
-		return fmt.Errorf("invalid message type: %w", err)
+		return false, fmt.Errorf("invalid message type: %w", err)
 	case messageType == typeNotification && length == notificationLen:
 		return c.handleNotification(d)
 	case messageType == typeRequest && length == requestLen:
 		return c.handleRequest(ctx, d, requests)
 	default:
-		return fmt.Errorf("unexpected message of type %d with %d elements", messageType, length)
+		return false, fmt.Errorf("unexpected message of type %d with %d elements", messageType, length)
 	}
 }
 
 // handleRequest reads the rest of a request after its type, and starts serving it if it is accepted.
-func (c *conn) handleRequest(ctx context.Context, d *decoder, requests *errgroup.Group) error {
+func (c *conn) handleRequest(ctx context.Context, d *decoder, requests *errgroup.Group) (excess bool, err error) {
 	id, err := d.require(kindInt)
 	if err != nil || !isMessageID(id) {
-		return errors.Join(err, fmt.Errorf("invalid message ID %d", id))
+		return false, errors.Join(err, fmt.Errorf("invalid message ID %d", id))
 	}
 	method, hasMethod, err := d.text(c.server.Limits.MaxName)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if method == methodPing {
 		c.reply(frame{head: pingResponse(uint32(id), c.server.Handler.Ready())})
-		return d.skip()
+		return true, d.skip()
 	}
 	params, err := c.decodeParams(d)
 	if err != nil {
-		return err
+		return false, err
 	}
 	params.malformed = params.malformed || !hasMethod
 	params.request.Class = method
 	r := &responder{conn: c, id: uint32(id)}
 	if verdict, duplicate := c.register(r, params); verdict != requestAccepted {
 		params.request.Statement.Free()
-		return c.refuse(r, verdict, duplicate, params.invalidPart)
+		return verdict.excess(), c.refuse(r, verdict, duplicate, params.invalidPart)
 	}
 	ctx, r.cancel = context.WithCancel(ctx)
 	requests.Go(func() error {
 		c.serveRequest(ctx, &params.request, r)
 		return nil
 	})
-	return nil
+	return false, nil
 }
 
 // isMessageID reports whether a number is a valid message ID.
@@ -105,9 +106,13 @@
 	requestOnClosedConn
 	requestDuplicate // its message ID is that of an open request
 	requestMalformed
-	requestOverLimit // it exceeds one of the server's limits, or the server is shutting down
+	requestOverConnLimit // it exceeds the limit on open requests of its connection
+	requestOverLimit     // it exceeds one of the server's limits, or the server is shutting down
 )
 
+// excess reports whether the client is at fault.
+func (v requestVerdict) excess() bool { return v == requestMalformed || v == requestOverConnLimit }
+
 // register adds a request to the in-flight table if it can be accepted. duplicate is the open request with the same message
 // ID, if there is one.
 func (c *conn) register(r *responder, params *params) (verdict requestVerdict, duplicate *responder) {
@@ -122,8 +127,7 @@
 	case params.malformed || params.invalidPart != "":
 		return requestMalformed, nil
 	case c.inFlight.full(c.maxInFlight()):
-		c.countExcess()
-		return requestOverLimit, nil
+		return requestOverConnLimit, nil
 	case params.outOfBuffers, c.shuttingDown:
 		return requestOverLimit, nil
 	default:
@@ -144,7 +148,7 @@
 		return fmt.Errorf("message ID %d is already in use by an open request", r.id)
 	case requestMalformed:
 		r.fail(reasonMalformed + " " + invalidPart)
-	case requestOverLimit:
+	case requestOverConnLimit, requestOverLimit:
 		r.reject(c.server.RetryAfter)
 	}
 	return nil
@@ -163,34 +167,40 @@
 	c.server.Handler.Serve(ctx, request, r)
 }
 
-// handleNotification reads and handles the rest of a notification after its type. Unknown notifications are skipped.
-func (c *conn) handleNotification(d *decoder) error {
+// handleNotification reads and handles the rest of a notification after its type. Unknown notifications are skipped. Each
+// request that it cancels counts as excess by itself.
+func (c *conn) handleNotification(d *decoder) (excess bool, err error) {
 	method, _, err := d.text(c.server.Limits.MaxName)
 	if err != nil {
-		return err
+		return false, err
 	}
 	count, ok, err := d.expect(kindArray)
 	if err != nil || !ok {
-		return err
+		return true, err
 	}
+	excess = true
 	for range count {
 		id, ok, err := d.expect(kindInt)
 		if err != nil {
-			return err
+			return false, err
 		}
-		if ok && method == methodAbort && isMessageID(id) {
-			c.abort(uint32(id))
+		if ok && method == methodAbort && isMessageID(id) && c.abort(uint32(id)) {
+			excess = false
 		}
 	}
-	return nil
+	return excess, nil
 }
 
-// abort cancels an open request that the client has aborted. It gets no response.
-func (c *conn) abort(id uint32) {
+// abort cancels an open request that the client has aborted, if there is one. It gets no response.
+func (c *conn) abort(id uint32) (found bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if r := c.inFlight.find(id); r != nil {
+	r := c.inFlight.find(id)
+	if r != nil {
 		r.cancelByClient()
+	}
+	c.mu.Unlock()
+	if r != nil {
 		c.countExcess()
 	}
+	return r != nil
 }
--- a/internal/frontend/msgpackrpc/overload.go
+++ b/internal/frontend/msgpackrpc/overload.go
@@ -7,17 +7,19 @@
 	"copperrock.example/copperrock/internal/limits"
 )
 
-// overload records whether a connection overloads the server: whether its client keeps sending requests beyond the
-// connection's limits, or keeps cancelling its requests. It is a leaky bucket of excess requests. conn.mu guards it.
+// overload records whether a connection overloads the server: whether its client keeps sending messages that are no acceptable
+// requests, such as requests beyond the connection's limits, or keeps cancelling its requests. It is a leaky bucket of excess
+// messages. conn.mu guards it.
 type overload struct {
-	level          float64   // excess requests, less those drained at the allowed rate
+	level          float64   // excess messages, less those drained at the allowed rate
 	levelAt        time.Time // time for which level was computed
 	activeUntil    time.Time // time until which the connection counts as overloading
-	pauseDoublings int       // number of times that the pause between two messages was doubled
+	pauseDoublings int       // number of times that the pause between two messages is doubled
+	unpausedReads  int       // number of messages with a backlog that were read without a pause
 }
 
-// countExcess counts a request that exceeds the connection's limits or that its client has cancelled. allowed is the number
-// of such requests allowed per second, and also the number allowed at once.
+// countExcess counts an excess message or a request that its client has cancelled. allowed is the number of them allowed per
+// second, and also the number allowed at once.
 func (o *overload) countExcess(now time.Time, allowed int, lim *limits.Limits) {
 	rate := float64(allowed)
 	o.level = max(o.level-rate*now.Sub(o.levelAt).Seconds(), 0) + 1
@@ -36,6 +38,11 @@
 		o.pauseDoublings = 0
 	case paused:
 		o.pauseDoublings = min(o.pauseDoublings+1, maxPauseDoublings)
+	default:
+		o.unpausedReads++
+		if o.unpausedReads%readsPerHalving == 0 {
+			o.pauseDoublings = max(o.pauseDoublings-1, 0)
+		}
 	}
 	if backlog {
 		o.activeUntil = now.Add(limits.Duration(lim.OverloadHold))
@@ -49,9 +56,11 @@
 const (
 	firstPause        = 16 * time.Millisecond
 	maxPauseDoublings = 6 // up to about one second
+	readsPerHalving   = 8 // messages read without a pause after which the pause is halved
 )
 
-// pause returns how long the reader pauses. The pause doubles each time the client has sent more than was read.
+// pause returns how long the reader pauses. The pause doubles each time the client has sent more than was read, and halves
+// while the pacer allows messages without one.
 func (o *overload) pause() time.Duration { return firstPause << o.pauseDoublings }
 
 // pace pauses the reader of an overloading connection after a message if the messages of all such connections together exceed
@@ -87,8 +96,10 @@
 	}
 }
 
-// countExcess counts a request that exceeds the connection's limits or was cancelled. c.mu must be held.
+// countExcess counts an excess message or a cancelled request.
 func (c *conn) countExcess() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	lim := &c.server.Limits
 	c.overload.countExcess(time.Now(), c.equalShare(lim.Excess, lim.MinExcessPerConn, lim.ExcessPerConn), lim)
 }
--- a/internal/frontend/msgpackrpc/overload_test.go
+++ b/internal/frontend/msgpackrpc/overload_test.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"copperrock.example/copperrock/internal/gateway"
+	"copperrock.example/copperrock/internal/harness/testutil"
 	"copperrock.example/copperrock/internal/limits"
 )
 
@@ -142,3 +143,61 @@
 		t.Errorf("got %d bytes read in %v, want at most %d", sent, duration, limit)
 	}
 }
+
+// Messages that are no acceptable requests are read at a bounded rate, like requests beyond the limits, and each that is owed an
+// answer gets one. Guards against one connection that takes the processor with pings, aborts of unknown requests, unknown
+// notifications, or requests that are malformed, of an unknown class or under an ID in use.
+func TestMessagesOfNoUseArePaced(t *testing.T) {
+	const pacedRate, messages = 500, 1200
+	request := func(class string) []any {
+		return []any{0, 1, class, []any{map[string]string{"ref": testutil.RequestID(1), "allow": "1000", "effort": "5", "need_mb": "32"}, []byte("x")}}
+	}
+	for _, c := range []struct {
+		name     string
+		message  []any
+		answered bool
+	}{
+		{"ping", []any{0, 1, "ping", []any{map[string]string{}}}, true},
+		{"abort", []any{2, "abort", []int{1}}, false},
+		{"empty abort", []any{2, "abort", []int{}}, false},
+		{"unknown notification", []any{2, "unknown", []any{}}, false},
+		{"malformed request", []any{0, 1, "lookup", []any{map[string]string{}, []byte("x")}}, true},
+		{"unknown class", request("unknown"), true},
+		{"ID in use", request("in use"), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x, _, _, address := startServer(t, func(lim *limits.Limits) { lim.PacedRate, lim.MinPacedRate = pacedRate, pacedRate },
+				func(s *Server) { s.Handler = faultFindingHandler{} })
+			client := x.Dial(address)
+			one, err := msgpack.Marshal(c.message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			for range messages {
+				write(t, client, one)
+				if c.answered {
+					client.ReadAnswer()
+				}
+			}
+			client.Send(0, 1, "ping", []any{map[string]string{}})
+			client.ReadPong() // all before it have been read
+			if took, least := time.Since(began), time.Second*(messages-2*pacerBurst)/pacedRate; took < least {
+				t.Errorf("%d messages were read in %v, want at least %v", messages, took, least)
+			}
+		})
+	}
+}
+
+// faultFindingHandler fails each request as a gateway does if the client is at fault.
+type faultFindingHandler struct{}
+
+func (faultFindingHandler) Ready() bool { return true }
+
+func (faultFindingHandler) Serve(_ context.Context, request *gateway.Request, responder gateway.Responder) {
+	err := gateway.ErrUnknownClass
+	if request.Class == "in use" {
+		err = gateway.ErrDuplicateID
+	}
+	responder.Failed(&gateway.RequestError{Op: "admit", ID: request.ID, Err: err})
+}
--- a/internal/frontend/msgpackrpc/races_test.go
+++ b/internal/frontend/msgpackrpc/races_test.go
@@ -68,7 +68,10 @@
 
 // A client that sends many pings at once and reads only afterwards gets a response to each.
 func TestPipelinedPings(t *testing.T) {
-	x, g, _, address := startServer(t, func(l *limits.Limits) { l.ClientWriteTimeout = 3600 })
+	x, g, _, address := startServer(t, func(l *limits.Limits) {
+		l.ClientWriteTimeout = 3600
+		l.PacedRate, l.MinPacedRate = 1e6, 1e6 // not the subject here
+	})
 	c := x.Dial(address)
 	c.SendRequest(1, "report", 1500, "wait")
 	const pings = 5000
@@ -102,7 +105,8 @@
 		c.aborted = ctx.Done()
 		var requests errgroup.Group
 		handle := func() error {
-			return c.handleMessage(ctx, &decoder{in: bufio.NewReader(bytes.NewReader(message)), remaining: 1 << 12, values: 1 << 12, depth: 8}, &requests)
+			_, err := c.handleMessage(ctx, &decoder{in: bufio.NewReader(bytes.NewReader(message)), remaining: 1 << 12, values: 1 << 12, depth: 8}, &requests)
+			return err
 		}
 		x.Recordf("%s first", first)
 		later := time.Now().Add(time.Hour)
--- a/internal/frontend/msgpackrpc/server_test.go
+++ b/internal/frontend/msgpackrpc/server_test.go
@@ -391,7 +391,7 @@
 		cancel()
 		c.aborted = ctx.Done()
 		var requests errgroup.Group
-		_ = c.handleMessage(ctx, &decoder{in: bufio.NewReader(iotest.OneByteReader(bytes.NewReader(text))), remaining: 1 << 12,
+		_, _ = c.handleMessage(ctx, &decoder{in: bufio.NewReader(iotest.OneByteReader(bytes.NewReader(text))), remaining: 1 << 12,
 			values: 1 << 12, depth: 8}, &requests)
 		wait(&requests)
 		if n := c.server.Pool.InUse(); n != 0 {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -20,7 +20,7 @@
 	MaxRequestsPerConn  int // maximum number of open requests on one client connection
 	MaxRequests         int // maximum number of open requests on all connections
 	MinRequestsPerConn  int // open requests allowed on one client connection however many connections there are
-	ExcessPerConn       int // requests beyond its limit, or cancelled, that one connection may send per second
+	ExcessPerConn       int // messages that are no acceptable requests, and cancelled requests, that one connection may send per second
 	MinExcessPerConn    int // the same, allowed however many connections there are
 	Excess              int // the same for all connections together, divided equally among those with open requests
 	WriteQueue          int // messages waiting to be written on one connection
