Bound the cached orders of engines by groups of tables

What callers would see: memory that grows with every new group of tables that a client names, until the list of engines changes; by calculation 51 MB a second with 2,000 new groups a second beside 3,200 engines.

Cause: endpointList.affinityOrders had no bound, and clients choose the numbers of the groups.

Change: at 1,048,576 entries (8 MB) all orders are dropped and computed anew when needed. They depend on their arguments alone: no decision changes, and the test compares an order with its repeat.

--- a/admission/affinity.go
+++ b/admission/affinity.go
@@ -43,9 +43,15 @@
 	}
 }
 
-// affinityOrder returns the ready engines in the hash order for the tables.
+// maxAffinityEntries bounds the cached affinity orders, in engines over all orders: clients choose the tables.
+const maxAffinityEntries = 1 << 20
+
+// affinityOrder returns the ready engines in the hash order for the tables. An order that is cached no longer is computed anew.
 func (l *endpointList) affinityOrder(tables uint32) []*engine {
 	if l.affinityOrders[tables] == nil && len(l.ready) > 0 {
+		if (len(l.affinityOrders)+1)*len(l.ready) > maxAffinityEntries {
+			clear(l.affinityOrders)
+		}
 		order := slices.Clone(l.ready)
 		slices.SortFunc(order, func(x, y *engine) int { return x.compareAffinity(y, tables) })
 		l.affinityOrders[tables] = order
--- a/admission/affinity_test.go
+++ b/admission/affinity_test.go
@@ -1,6 +1,9 @@
 package admission
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // A request without tables has no preferred engines. Otherwise all gateways would send such requests to the same two engines.
 func TestNoAffinityWithoutTables(t *testing.T) {
@@ -22,3 +25,25 @@
 		t.Errorf("%d engines got a request, want 8", len(count))
 	}
 }
+
+// Guards against memory that grows with every new group of tables that clients name. An order is the same after it was dropped.
+func TestAffinityOrdersAreBounded(t *testing.T) {
+	const engines = 500
+	x := newTrace(t, Settings{}, Class{})
+	ids := make([]uint32, engines)
+	for i := range ids {
+		ids[i] = uint32(i) + 1
+	}
+	x.listReady(Snapshot, ids...)
+	list := &x.endpoints
+	first := slices.Clone(list.affinityOrder(1))
+	for tables := range uint32(3 * maxAffinityEntries / engines) {
+		list.affinityOrder(tables)
+		if entries := len(list.affinityOrders) * engines; entries > maxAffinityEntries {
+			t.Fatalf("%d engines are stored in orders, want at most %d", entries, maxAffinityEntries)
+		}
+	}
+	if !slices.Equal(first, list.affinityOrder(1)) {
+		t.Error("an order differs after it was dropped")
+	}
+}
