A non-idempotent request does not run again under the ID of one that has ended

What callers saw: twenty loads that must not run twice, whose clients close 10 ms after sending and send the same ID on a new connection, four rounds: 20 of 20 came to an engine more than once, with engines that can cancel and with engines that can't.

Cause: an open request's ID is refused, but it was forgotten when the request ended, which for a client that has left is when its attempt ends or is cancelled; the attempt may have run.

Evidence: TestReturningClientsRunOnce and TestEndedIDIsNotRunAgain with the memory switched off: 20 of 20 twice, 2 attempts in place of 1.

Change: Gateway.release, the one place that forgets a request, keeps the IDs of the latest requests that may have run and are not idempotent (memory/16 KB of them); admit fails a request under such an ID with 'may have run', as rejecting it would promise that nothing ran. IDs of the fleet's scheduled runs are not looked up: the fleet decides whether they run again.

Measured: both tests, and TestEndedIDsAreBounded, under race: passed.

--- a/cmd/copperrock/hostile_test.go
+++ b/cmd/copperrock/hostile_test.go
@@ -399,3 +399,40 @@
 		}
 	}
 }
+
+// Loads that must not run twice, whose clients leave at once and come again under the same IDs while the first try is open and
+// after it has ended. Guards against an ID that runs twice.
+func TestReturningClientsRunOnce(t *testing.T) {
+	for _, cancels := range []bool{false, true} {
+		t.Run(fmt.Sprintf("engines cancel %v", cancels), func(t *testing.T) {
+			const loads, rounds = 20, 4
+			d := newDepartures()
+			c := newTestCluster(t, 2, 1, func(_ int, e *fakeengine.Engine) {
+				e.Cores, e.Memory, e.OnEvent = 16, 32768, d.observe
+			})
+			c.addController("c0", strings.NewReplacer("MEMORY", fmt.Sprint(smallPlatformMB), "CANCEL", fmt.Sprint(cancels)).Replace(hostileSettings))
+			if err := c.Start("c0"); err != nil {
+				t.Fatal(err)
+			}
+			c.waitReady()
+			for range rounds {
+				for n := range loads {
+					peer, err := net.Dial("tcp", c.clientAddresses[0])
+					if err != nil {
+						t.Fatal(err)
+					}
+					load := encode([]any{0, 1, "load", []any{map[string]string{"ref": fmt.Sprintf("%016x", n+1), "allow": "15000", "effort": "100", "need_mb": "32"},
+						[]byte("/* work=0.1 mb=32 */ insert into sales_1.t select 1")}})
+					if _, err := peer.Write(load); err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(10 * time.Millisecond) // most are at an engine by now
+					peer.Close()
+				}
+			}
+			if _, _, repeated := d.late(); repeated > 0 || d.count() == 0 {
+				t.Errorf("%d of %d loads came to an engine more than once", repeated, d.count())
+			}
+		})
+	}
+}
--- a/internal/frontend/msgpackrpc/responder.go
+++ b/internal/frontend/msgpackrpc/responder.go
@@ -30,7 +30,7 @@
 		r.reject(rejected.RetryAfter)
 		return
 	}
-	if errors.Is(err, gateway.ErrUnknownClass) || errors.Is(err, gateway.ErrDuplicateID) {
+	if errors.Is(err, gateway.ErrUnknownClass) || errors.Is(err, gateway.ErrDuplicateID) || errors.Is(err, gateway.ErrMayHaveRun) {
 		r.conn.countExcess() // it is answered at once, so a client could send such requests without end
 	}
 	r.fail(gateway.Reason(err))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -190,6 +190,7 @@
 	a.Release()
 	g.runEvent(func(now float64) {
 		r.attemptsOpen--
+		r.mayHaveRun = r.mayHaveRun || !a.neverRan
 		if g.fairShare != nil && r.attemptsOpen > 0 {
 			g.carryOut(now, g.fairShare.AttemptEnded(now, r.handle, r.bookedMemory(a.Grant)))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,7 @@
 	startedRequests []uint32             // started by the controller, not yet reported to the scheduler
 	requests        map[uint32]*openRequest
 	requestIDs      map[string]bool // IDs of the open requests
+	endedIDs        endedIDs
 	lastHandle      uint32
 	endpoints       map[string]*endpoint
 	endpointsByID   map[uint32]*endpoint
@@ -97,6 +98,7 @@
 		engineConnSlots: make(chan struct{}, o.Limits.MaxEngineConns),
 		requests:        map[uint32]*openRequest{},
 		requestIDs:      map[string]bool{},
+		endedIDs:        newEndedIDs(o.Limits.MaxEndedIDs),
 		endpoints:       map[string]*endpoint{},
 		endpointsByID:   map[uint32]*endpoint{},
 		membership:      membership{o.Settings.Admission.GatewayIndex, o.Settings.Admission.GatewayCount},
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -80,3 +81,37 @@
 		})
 	}
 }
+
+// Guards against a second run of a non-idempotent request whose ID comes again after its first try has ended.
+func TestEndedIDIsNotRunAgain(t *testing.T) {
+	for idempotency, want := range map[admission.Idempotency]int32{admission.Idempotent: 4, admission.NonIdempotent: 1} {
+		g, attempts := newResettingGateway(t, idempotency)
+		for range 2 {
+			answer := serve(g, "1", nil)
+			if idempotency == admission.NonIdempotent && answer == "throttled" {
+				t.Error("a request that may have run was rejected")
+			}
+		}
+		if n := attempts.Load(); n != want {
+			t.Errorf("idempotency %d: got %d attempts, want %d", idempotency, n, want)
+		}
+	}
+}
+
+// The latest IDs are remembered, up to the limit.
+func TestEndedIDsAreBounded(t *testing.T) {
+	const limit = 3
+	ended := newEndedIDs(limit)
+	for i := range 10 {
+		ended.add(fmt.Sprint(i))
+		ended.add(fmt.Sprint(i))
+	}
+	for i := range 10 {
+		if id := fmt.Sprint(i); ended.contains(id) != (i >= 10-limit) {
+			t.Errorf("ID %s: got remembered %v", id, ended.contains(id))
+		}
+	}
+	if len(ended.known) != limit || len(ended.ring) != limit {
+		t.Errorf("%d IDs are stored, want %d", len(ended.known), limit)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -96,6 +96,7 @@
 	bounded         bool    // a budget limits the memory of its attempts
 	attemptsStarted int     // number of attempts decided on, including those of earlier tries
 	attemptsOpen    int     // number of attempts without an outcome
+	mayHaveRun      bool    // an attempt has ended that may have run
 	work            float64 // core-seconds used, 0 until the request has succeeded
 }
 
@@ -130,13 +131,16 @@
 	return class, nil
 }
 
-// admit registers and enqueues a request, unless another one with its ID or too many others are open.
+// admit registers and enqueues a request, unless another one with its ID is open or may have run, or too many others are open.
+// The IDs of requests that run under a lease are the fleet's, which decides whether they run again.
 func (g *Gateway) admit(r *openRequest) error {
 	var err error
 	g.runEvent(func(now float64) {
 		switch {
 		case g.requestIDs[r.ID]:
 			err = &RequestError{opAdmit, r.ID, ErrDuplicateID}
+		case r.FencingToken == nil && g.endedIDs.contains(r.ID):
+			err = &RequestError{opAdmit, r.ID, ErrMayHaveRun}
 		case len(g.requests) >= g.limits.MaxRequests:
 			err = g.rejected(opAdmit, r.Request, ErrTooManyRequests)
 		default:
@@ -214,6 +218,9 @@
 		released = true
 		delete(g.requests, r.handle)
 		delete(g.requestIDs, r.ID)
+		if r.mayHaveRun && g.settings.Admission.Classes[r.class].Idempotency != admission.Idempotent {
+			g.endedIDs.add(r.ID)
+		}
 		if g.fairShare != nil {
 			g.carryOut(now, g.fairShare.Finished(now, r.handle, r.work))
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -19,6 +19,7 @@
 	// Counts.
 	MaxRequestsPerConn  int // maximum number of open requests on one client connection
 	MaxRequests         int // maximum number of open requests on all connections
+	MaxEndedIDs         int // IDs of ended requests that are remembered because they must not run again
 	MinRequestsPerConn  int // open requests allowed on one client connection however many connections there are
 	ExcessPerConn       int // messages that are no acceptable requests, and cancelled requests, that one connection may send per second
 	MinExcessPerConn    int // the same, allowed however many connections there are
@@ -94,6 +95,7 @@
 
 		MaxRequestsPerConn:  32,
 		MaxRequests:         int(min(max(memory/(32<<10), 64), 20000)), // a request costs two goroutine stacks and its statement
+		MaxEndedIDs:         int(min(max(memory/(16<<10), 64), 1<<16)),
 		MinRequestsPerConn:  4,
 		ExcessPerConn:       16,
 		MinExcessPerConn:    4,
