A new engine at the address of one that has gone is not taken for the old one

What callers saw: while the list has a new engine at the address of one that has gone and still has the old one, requests placed at the old one go to the new process: a lookup bound to zone east went to an engine of zone west. A cold process gets a warm one's share. With a file and a channel as sources, the new engine was left out as a conflict.

Cause: endpoints were known by name alone; only the merger saw an address twice, and kept the first by name. One process listens at an address, so the later entry proves that the earlier one has gone.

Change: each entry of each update claims its address in one place (addressHolders) before it becomes ready. The endpoint listed later, or whose process started later, gets it; the other is stopped as if terminated, and the controller is told in the same event.

Other kinds of peer, by trial, sound on the code before: clients (TestClientAddressTakenOver), voters (TestMessageForAnotherVoter, fails with the check of Core.Step taken out), the command channel (TestChannelAddressTakenOver: lower numbers change nothing). Not to be told by the protocols: an engine's new process before the list says anything, a channel whose numbers go on.

--- a/internal/discovery/merger_test.go
+++ b/internal/discovery/merger_test.go
@@ -38,3 +38,17 @@
 		}
 	})
 }
+
+// Guards against an engine that is left out because it has the address of one that has gone and that its source still lists.
+func TestMergerAddressTakenOver(t *testing.T) {
+	entry := func(name string, startedAt float64) Endpoint {
+		return Endpoint{Name: name, Address: "10.0.0.1:1", State: InService, StartedAt: startedAt}
+	}
+	for _, list := range [][]Endpoint{{entry("a-old", 0), entry("b-new", 100)}, {entry("a-new", 100), entry("b-old", 0)}} {
+		m := NewMerger(2)
+		merged, conflicts := m.Set(1, List{Endpoints: list})
+		if len(merged.Endpoints) != 1 || merged.Endpoints[0].StartedAt != 100 || len(conflicts) != 1 {
+			t.Errorf("%v: got %v and conflicts %q, want the entry that started at 100 and one conflict", list, merged.Endpoints, conflicts)
+		}
+	}
+}
--- a/internal/discovery/watch/client_test.go
+++ b/internal/discovery/watch/client_test.go
@@ -164,3 +164,29 @@
 		}
 	})
 }
+
+// Another process at the channel's address, whose numbers begin anew, does not replace the list by an older one.
+func TestChannelAddressTakenOver(t *testing.T) {
+	trace := testutil.NewTrace(t)
+	server := trace.StartChannel()
+	updates := recordedUpdates{trace, make(chan bool, 10)}
+	lim := limits.For(64, 256)
+	lim.ChannelRetryDelay, lim.ChannelIdleTimeout = 0, 3600
+	client := &Client{address: server.Addr().String(), Subscriber: updates, Limits: lim, Log: zerolog.Nop()}
+	stop := runWithFirstEvent(t, client, updates)
+	defer stop()
+	server.ExpectConnection()
+	server.SendLine(eventText(2, false, "terminating"))
+	<-updates.received
+	server.CloseConn()
+	server.ExpectConnection() // the new process
+	server.SendLine("1")
+	server.SendLine(eventText(1, true, "in_service"))
+	server.SendLine(eventText(2, false, "in_service"))
+	server.SendLine(eventText(3, false, "terminated"))
+	<-updates.received
+	if n := len(updates.received); n != 0 || client.LastEvent() != 3 {
+		t.Errorf("got %d further updates and last event %d, want none and 3", n, client.LastEvent())
+	}
+	trace.Check()
+}
--- a/internal/fleet/consensus/core_test.go
+++ b/internal/fleet/consensus/core_test.go
@@ -1,12 +1,14 @@
 package consensus
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strconv"
 	"strings"
 	"testing"
 
+	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -337,3 +339,29 @@
 		}
 	})
 }
+
+// A raft message for another voter changes nothing: a voter may have come up at the address of one that has gone.
+func TestMessageForAnotherVoter(t *testing.T) {
+	s := newSim(9, 3, 1, "")
+	s.run(5)
+	leader := s.leader()
+	if leader == nil {
+		t.Fatal("no voter leads")
+	}
+	core := leader.core
+	before := core.rawNode.BasicStatus()
+	for id := uint64(1); id <= 3; id++ {
+		if id == core.config.ID {
+			continue
+		}
+		term := before.GetTerm() + 10
+		from, kind := id, raftpb.MsgHeartbeat
+		message := &raftpb.Message{To: &id, From: &from, Type: &kind, Term: &term}
+		if err := core.Step(s.now, message); !errors.Is(err, errNotForThisVoter) {
+			t.Errorf("got error %v, want %v", err, errNotForThisVoter)
+		}
+	}
+	if after := core.rawNode.BasicStatus(); after.GetTerm() != before.GetTerm() {
+		t.Errorf("the term went from %d to %d", before.GetTerm(), after.GetTerm())
+	}
+}
--- a/internal/frontend/msgpackrpc/presence_test.go
+++ b/internal/frontend/msgpackrpc/presence_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -129,3 +130,32 @@
 		})
 	}
 }
+
+// A client that connects from the address of one that has left gets no answer to the other's request, which is cancelled.
+func TestClientAddressTakenOver(t *testing.T) {
+	x, g, _, address := startServer(t, nil)
+	first := x.Dial(address)
+	local := first.LocalAddr()
+	first.SendRequest(1, "report", 20000, "wait")
+	first.Send(0, 99, "ping", []any{map[string]string{}})
+	first.ReadPong() // the request has been read
+	if err := first.Conn.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	first.Close()
+	var peer net.Conn
+	waitFor(t, func() bool { // until the address is free again
+		var err error
+		peer, err = (&net.Dialer{LocalAddr: local}).Dial("tcp", address)
+		return err == nil
+	})
+	defer peer.Close()
+	x.Recordf("cancelled: %s", <-g.cancelled)
+	second := &testutil.Client{Trace: x, Conn: peer}
+	second.SendRequest(1, "report", 1500, "mine")
+	var answer []any
+	if err := msgpack.NewDecoder(peer).Decode(&answer); err != nil || !strings.Contains(fmt.Sprint(answer), "mine") {
+		t.Errorf("got answer %v, error %v", answer, err)
+	}
+	x.Check()
+}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -15,10 +15,12 @@
 // endpoint is an engine's entry in the endpoint list, with its current or latest incarnation. Gateway.mu guards it.
 type endpoint struct {
 	id          uint32 // the controller's ID of the endpoint
+	firstListed uint64 // number of the list update that listed it first
 	entry       discovery.Endpoint
 	machineType int
 	ready       bool // accepts requests
 	terminated  bool
+	superseded  bool // another endpoint has taken over its address, so its process has gone
 	delisted    bool // no longer listed; kept until its connections have ended
 
 	address     string
@@ -41,7 +43,11 @@
 		listed := make(map[string]bool, len(engines))
 		for _, entry := range engines {
 			listed[entry.Name] = true
-			updates = append(updates, g.updateEndpoint(entry))
+		}
+		g.listUpdates++
+		g.releaseGone(mode, engines, listed)
+		for _, entry := range engines {
+			updates = append(updates, g.updateEndpoint(entry)...)
 		}
 		for name, e := range g.endpoints {
 			g.dropEndpoint(name, e, mode, listMode == admission.Snapshot && !listed[name])
@@ -55,22 +61,32 @@
 	})
 }
 
-// updateEndpoint applies one entry of an update and returns the corresponding update for the controller. An entry with
+// updateEndpoint applies one entry of an update and returns the corresponding updates for the controller. An entry with
 // the same address and start time as before is the same incarnation. If either differs, it is a new incarnation, and the
-// old one is drained. The lock is held.
-func (g *Gateway) updateEndpoint(entry discovery.Endpoint) admission.Endpoint {
+// old one is drained. The process of another endpoint whose address the entry takes over has gone. The lock is held.
+func (g *Gateway) updateEndpoint(entry discovery.Endpoint) (updates []admission.Endpoint) {
 	e := g.endpoints[entry.Name]
 	if e == nil {
-		e = &endpoint{id: g.endpointID(entry.Name)}
+		e = &endpoint{id: g.endpointID(entry.Name), firstListed: g.listUpdates}
 		g.endpoints[entry.Name], g.endpointsByID[e.id] = e, e
 	}
 	restarted := e.address != entry.Address || e.incarnation != entry.StartedAt
-	e.entry = entry
-	e.ready = entry.Available() && !g.overrides.draining[entry.Name]
+	if entry.Address != e.entry.Address {
+		g.addressHolders.release(e, e.entry.Address)
+	}
 	e.terminated = entry.State == discovery.Terminated
+	if !e.terminated {
+		superseded := g.addressHolders.claim(e, entry)
+		e.superseded = superseded == e
+		if superseded != nil && superseded != e {
+			updates = append(updates, g.supersede(superseded, entry.Name))
+		}
+	}
+	e.entry = entry
+	e.ready = entry.Available() && !e.superseded && !g.overrides.draining[entry.Name]
 	e.delisted = false
 	if !e.ready || restarted {
-		e.stop(e.terminated)
+		e.stop(e.terminated || e.superseded)
 	}
 	switch {
 	case e.ready && (restarted || e.engine == nil):
@@ -80,17 +96,31 @@
 		e.engine.Resume()
 	}
 	e.machineType = nameIndex(g.settings.MachineTypes, entry.Kind)
+	return append(updates, g.admissionEndpoint(e))
+}
+
+// admissionEndpoint returns an endpoint as the controller knows it. The lock is held.
+func (g *Gateway) admissionEndpoint(e *endpoint) admission.Endpoint {
 	return admission.Endpoint{
 		ID:          e.id,
-		Zone:        nameIndex(g.settings.Zones, entry.Zone),
+		Zone:        nameIndex(g.settings.Zones, e.entry.Zone),
 		MachineType: e.machineType,
-		Cell:        entry.Cell,
+		Cell:        e.entry.Cell,
 		Ready:       e.ready,
-		Weight:      entry.Weight,
-		StartedAt:   entry.StartedAt,
+		Weight:      e.entry.Weight,
+		StartedAt:   e.entry.StartedAt,
 	}
 }
 
+// supersede stops an endpoint whose address the process of another one has taken over, and returns the update for the controller.
+// It stays known until it is no longer listed. The lock is held.
+func (g *Gateway) supersede(e *endpoint, by string) admission.Endpoint {
+	g.log.Warn().Str("engine", e.entry.Name).Str("address", e.entry.Address).Str("by", by).Msg("engine's address taken over")
+	e.superseded, e.ready = true, false
+	e.stop(true)
+	return g.admissionEndpoint(e)
+}
+
 // newEngine returns the owner of the connections to an endpoint's new incarnation.
 func (g *Gateway) newEngine(e *endpoint) *resp.Engine {
 	name := e.entry.Name
@@ -149,6 +179,7 @@
 // forgetEndpoint removes an endpoint. A later entry of the same name is a new endpoint. The lock is held.
 func (g *Gateway) forgetEndpoint(name string, e *endpoint) {
 	if g.endpoints[name] == e {
+		g.addressHolders.release(e, e.entry.Address)
 		delete(g.endpoints, name)
 		delete(g.endpointsByID, e.id)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	lastHandle      uint32
 	endpoints       map[string]*endpoint
 	endpointsByID   map[uint32]*endpoint
+	addressHolders  addressHolders
+	listUpdates     uint64 // number of updates of the endpoint list
 	ready           bool
 	shuttingDown    bool
 	membership      membership
@@ -101,6 +103,7 @@
 		endedIDs:        newEndedIDs(o.Limits.MaxEndedIDs),
 		endpoints:       map[string]*endpoint{},
 		endpointsByID:   map[uint32]*endpoint{},
+		addressHolders:  addressHolders{},
 		membership:      membership{o.Settings.Admission.GatewayIndex, o.Settings.Admission.GatewayCount},
 	}
 	if o.Settings.IdleConnsPerEngine > 0 {
