Test of restored jobs: take the time before the scheduler starts

Cause: the test read the clock after the scheduler's start, so a second that began in between made one occurrence due and would have failed it. Change: the clock is read before. Its check is the same. Measured: not seen to fail; by reading.

--- a/internal/sharedwork/worker_test.go
+++ b/internal/sharedwork/worker_test.go
@@ -187,8 +187,8 @@
 		t.Fatal(err)
 	}
 	for _, restored := range []bool{false, true} {
-		s := New(&Options{Jobs: []Job{job}}, fake, fake, nil, zerolog.Nop()).scheduler
 		now := time.Now()
+		s := New(&Options{Jobs: []Job{job}}, fake, fake, nil, zerolog.Nop()).scheduler
 		s.update([]consensus.ScheduledJob{{Name: "a", LastDue: now.Unix() - 5, Restored: restored}})
 		if missed := len(dueTimes(&job, s.history(&job).LastDue, now)); (missed == 0) != restored {
 			t.Errorf("restored %v: %d missed occurrences are due", restored, missed)
