Ask for the client's state again immediately before an attempt's first byte

Cause: the state was asked for when the attempt was decided on; it then waits to be written. And a reader could be 80 ms behind before the client counted as possibly gone, of the 100 ms allowed.

Evidence: TestNoFirstByteForClientThatLeft fails without the check at the first byte.

TestNoAttemptForClientsThatLeft chooses the state by the attempts that an engine saw, as it is asked for more often now; its checks are the same.

--- a/cmd/copperrock/hostile_test.go
+++ b/cmd/copperrock/hostile_test.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,11 +25,20 @@
 
 // hostileSettings configure one controller with the memory and the descriptors of a small platform. Its engines can't cancel.
 const hostileSettings = `{"name": "NAME", "listen": "LISTEN", "seed": "SEED", "machine": {"memory_mb": MEMORY, "sockets": 2048},
-  "requests": {"team": "team", "customer": "customer", "key": "order"},
+  "requests": {"team": "team", "customer": "customer", "key": "order"RETRY},
   "deployment": {"gateways": 1, "index": 0, "zones": ["here"], "kinds": [{"name": "small", "cores": 16, "memory_mb": 32768}],
     "types": [{"name": "lookup", "repeat": "restartable", "job_timeout": 2.5, "sla": 0.5, "threads": 1},
       {"name": "load", "repeat": "run_once", "job_timeout": 20, "sla": 5, "threads": 1}],
-    "engines": {"report": ["busy_reqs", "x0"], "call_off": CANCEL}}, "engines": {"file": "ENGINES"}}`
+    "engines": {"report": ["busy_reqs", "x0"], "call_off": CANCEL}}, "engines": {"file": "ENGINES"}STORE}`
+
+// hostileControllerSettings returns the settings of a controller, with a store below folder if it is to have one.
+func hostileControllerSettings(memoryMB int, cancels, stored bool, folder string) string {
+	retry, store := "", ""
+	if stored {
+		retry, store = `, "retry": "retry"`, fmt.Sprintf(`, "store": {"folder": %q}`, filepath.Join(folder, "store"))
+	}
+	return strings.NewReplacer("MEMORY", fmt.Sprint(memoryMB), "CANCEL", fmt.Sprint(cancels), "RETRY", retry, "STORE", store).Replace(hostileSettings)
+}
 
 // hostileShape is a way in which clients misuse their connections.
 type hostileShape struct {
@@ -36,6 +46,7 @@
 	connections int
 	reads       bool                                      // answers are read and discarded
 	behave      func(h *hostileClient, w io.Writer) error // writes to one connection until it is to be closed or a write fails
+	stored      bool                                      // the controller has a store
 	resets      bool                                      // connections are reset at their end instead of closed
 }
 
@@ -189,6 +200,11 @@
 			return h.request("lookup", newTables(n), map[string]string{"team": "t" + name, "customer": "c" + name, "order": "o" + name, "x" + name: name})
 		})
 	}},
+	{name: "b: requests under ever new keys of the store", connections: 1, reads: true, stored: true, behave: func(h *hostileClient, w io.Writer) error {
+		return h.batches(w, func(n int) []byte {
+			return h.request("lookup", "select /* work=0.0001 mb=1 */ 1", map[string]string{"retry": fmt.Sprintf("%d-%d", h.index, n)})
+		})
+	}},
 	{name: "b: what can't be read, on ever new connections", connections: 1, reads: true, behave: func(h *hostileClient, w io.Writer) error {
 		_, err := w.Write(bytes.Repeat([]byte{0xc1}, 100))
 		h.pause(time.Millisecond)
@@ -343,7 +359,7 @@
 	c := newTestCluster(t, engines, 1, func(_ int, e *fakeengine.Engine) {
 		e.Cores, e.Memory, e.OnEvent = 16, 32768, d.observe
 	})
-	c.addController("c0", strings.NewReplacer("MEMORY", fmt.Sprint(memoryMB), "CANCEL", fmt.Sprint(cancels)).Replace(hostileSettings))
+	c.addController("c0", hostileControllerSettings(memoryMB, cancels, shape != nil && shape.stored, c.Folder))
 	if err := c.Start("c0"); err != nil {
 		t.Fatal(err)
 	}
@@ -410,7 +426,7 @@
 			c := newTestCluster(t, 2, 1, func(_ int, e *fakeengine.Engine) {
 				e.Cores, e.Memory, e.OnEvent = 16, 32768, d.observe
 			})
-			c.addController("c0", strings.NewReplacer("MEMORY", fmt.Sprint(smallPlatformMB), "CANCEL", fmt.Sprint(cancels)).Replace(hostileSettings))
+			c.addController("c0", hostileControllerSettings(smallPlatformMB, cancels, false, ""))
 			if err := c.Start("c0"); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/backend/resp/attempt.go
+++ b/internal/backend/resp/attempt.go
@@ -28,12 +28,17 @@
 
 // AttemptOptions are the parameters of StartAttempt.
 type AttemptOptions struct {
-	RequestID      string
-	Class          string
-	Statement      *bufferpool.Chain // held until it is written
-	Deadline       time.Time
-	SendBefore     time.Time // time after which its first byte must not be sent; zero for none
-	Grant          float64   // memory, in MB
+	RequestID  string
+	Class      string
+	Statement  *bufferpool.Chain // held until it is written
+	Deadline   time.Time
+	SendBefore time.Time // time after which its first byte must not be sent; zero for none
+
+	// Withdrawn reports, immediately before the first byte, whether the attempt must not be sent any more. It must not block.
+	// It is nil if the attempt may always be sent.
+	Withdrawn func() bool
+
+	Grant          float64 // memory, in MB
 	Priority       int
 	RunTime        float64 // estimated run time in seconds, 0 if unknown
 	FencingToken   string  // "" for none
--- a/internal/backend/resp/loops.go
+++ b/internal/backend/resp/loops.go
@@ -156,7 +156,7 @@
 	}
 	timeLeft := time.Until(a.Deadline).Milliseconds()
 	tooLate := !a.SendBefore.IsZero() && time.Now().After(a.SendBefore)
-	if timeLeft < 1 || tooLate {
+	if timeLeft < 1 || tooLate || a.Withdrawn != nil && a.Withdrawn() {
 		a.end(admission.NotStarted)
 		return "", false
 	}
--- a/internal/frontend/msgpackrpc/presence.go
+++ b/internal/frontend/msgpackrpc/presence.go
@@ -18,7 +18,7 @@
 	presenceInterval = 25 * time.Millisecond
 
 	// maxInputLag is how long the reader may be behind a client's input before the client counts as possibly gone.
-	maxInputLag = 80 * time.Millisecond
+	maxInputLag = 50 * time.Millisecond
 
 	// maxHiddenInput is the number of unread bytes in the system's buffer from which on more may wait at the client, and the end
 	// of the stream behind it.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,6 +63,7 @@
 		Statement:      r.Statement,
 		Deadline:       l.deadline,
 		SendBefore:     l.sendBefore(),
+		Withdrawn:      l.clientLost,
 		Grant:          d.grant,
 		Priority:       d.priority,
 		RunTime:        r.EstimatedWork / g.settings.Admission.Classes[r.class].Threads,
@@ -107,6 +108,11 @@
 	return fencingToken, true
 }
 
+// clientLost reports whether the client has gone, or may have gone. It may be called by any goroutine.
+func (l *lifecycle) clientLost() bool {
+	return l.client.Err() != nil || l.request.clientState() != ClientConnected
+}
+
 // giveUp answers a request that is to get no further attempt. It is rejected, if no attempt may have run.
 func (l *lifecycle) giveUp() {
 	ran := slices.ContainsFunc(l.attempts, func(a *attempt) bool { return !a.neverRan })
--- a/internal/gateway/presence_test.go
+++ b/internal/gateway/presence_test.go
@@ -67,10 +67,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g, attempts := newResettingGateway(t, admission.Idempotent)
-			asked := 0
 			answer := serve(g, "1", func() ClientState {
-				asked++
-				return c.states[min(asked, len(c.states))-1]
+				return c.states[min(int(attempts.Load()), len(c.states)-1)]
 			})
 			if answer != c.answer || attempts.Load() != c.attempts {
 				t.Errorf("got answer %q and %d attempts, want %q and %d", answer, attempts.Load(), c.answer, c.attempts)
@@ -115,3 +113,18 @@
 		t.Errorf("%d IDs are stored, want %d", len(ended.known), limit)
 	}
 }
+
+// Guards against attempts for a client that leaves while they wait for their turn to be written.
+func TestNoFirstByteForClientThatLeft(t *testing.T) {
+	g, attempts := newResettingGateway(t, admission.Idempotent)
+	var asked atomic.Int32
+	answer := serve(g, "1", func() ClientState {
+		if asked.Add(1) == 1 { // when the attempt is decided on
+			return ClientConnected
+		}
+		return ClientDisconnected
+	})
+	if answer != "" || attempts.Load() != 0 {
+		t.Errorf("got answer %q and %d attempts, want none", answer, attempts.Load())
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -38,8 +38,8 @@
 	// Yields means that the client keeps exceeding its limits: the request waits behind others and is shed before them.
 	Yields bool
 
-	// ClientState is called immediately before each attempt; nil means ClientConnected. A client that has disconnected gets
-	// no attempt, and the end of ctx may be behind.
+	// ClientState is called before each attempt and again immediately before its first byte, by any goroutine; nil means
+	// ClientConnected. A client that has disconnected gets no attempt, and the end of ctx may be behind. It must not block.
 	ClientState func() ClientState
 
 	// FencingToken is called immediately before each attempt of a request that runs under a lease; it is nil for a
