--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,7 +89,7 @@
 		l.withdraw()
 		return "", false
 	case ClientUnknown:
-		l.giveUp()
+		l.endWithoutAttempt()
 		return "", false
 	}
 	if l.request.FencingToken != nil {
@@ -113,8 +113,8 @@
 	return l.client.Err() != nil || l.request.clientState() != ClientConnected
 }
 
-// giveUp answers a request that is to get no further attempt. It is rejected, if no attempt may have run.
-func (l *lifecycle) giveUp() {
+// endWithoutAttempt answers a request that is to get no further attempt. It is rejected, if no attempt may have run.
+func (l *lifecycle) endWithoutAttempt() {
 	ran := slices.ContainsFunc(l.attempts, func(a *attempt) bool { return !a.neverRan })
 	if ran || len(l.request.pastAttempts) > 0 {
 		l.fail(opRun, ErrMayHaveRun)
