TestDutiesOverFaults counts polls over three seconds at least

Cause: the rate was taken over the time that three runs needed. Beside load the shards had owners only after 2.13 s, so runs within their grace were made up for at once and the three ended after 0.03 s. One poll in 0.042 s is a rate of 23.7. No fault of the program is shown.

Change: the test waits for three runs and for three seconds, as it was meant to. Its bounds are the same.

--- a/cmd/copperrock/duties_test.go
+++ b/cmd/copperrock/duties_test.go
@@ -146,7 +146,8 @@
 	})
 	from := unixNow()
 	done := b.lastDone("sum-b")
-	b.waitFor("three more runs are done", func() bool { return b.lastDone("sum-b") >= done+3 })
+	// Runs that were late may end all at once, and a rate says nothing over a moment.
+	b.waitFor("three more runs are done, and three seconds have passed", func() bool { return b.lastDone("sum-b") >= done+3 && unixNow() >= from+3 })
 	if rate, gap := polls.rateAndGap(from, unixNow()); rate > 1.2*10 || gap > 1 {
 		t.Errorf("%.1f polls per second of an engine, longest gap %.2f s; want at most 12 and 1 s", rate, gap)
 	}
